--- a/cmake/shallotcove.cmake
+++ b/cmake/shallotcove.cmake
@@ -20,14 +20,17 @@
     endif()
 endfunction()
 
-# Adds the static library shallotcove_<name>, alias shallotcove::<name>, from every
-# src/<name>/*.cpp that is neither a test (x_test.cpp), a benchmark (x_bench.cpp) nor a program (x_main.cpp).
+# Adds the static library shallotcove_<name>, alias shallotcove::<name>, from every *.cpp of DIR, by default
+# src/<name>, that is neither a test (x_test.cpp), a benchmark (x_bench.cpp) nor a program (x_main.cpp).
 # Adds the Criterion program <name>_test from the x_test.cpp files, if there are any, and one plain program, which
 # returns 0 on success, for each x_thread_test.cpp. With the thread sanitizer only the plain programs are built:
 # Criterion 2.4.1 cannot map its arena there ("Could not initialize inheritable arena").
 function(shallotcove_package name)
-    cmake_parse_arguments(arg "" "" "LINK" ${ARGN})
+    cmake_parse_arguments(arg "" "DIR" "LINK" ${ARGN})
     set(dir ${PROJECT_SOURCE_DIR}/src/${name})
+    if(arg_DIR)
+        set(dir ${arg_DIR})
+    endif()
     file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp)
     set(tests ${sources})
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
--- a/include/shallotcove/daemon/channels.hpp
+++ b/include/shallotcove/daemon/channels.hpp
@@ -13,7 +13,7 @@
 #include <shallotcove/daemon/packet_worker.hpp>
 #include <shallotcove/daemon/ring.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 class key_value_client;
 }
 
@@ -67,7 +67,7 @@
 class store_health;
 
 /// From the operator thread: runs on the platform thread and reports the outcome of its call.
-using store_task = std::function<void(platform::key_value_client&, store_health&)>;
+using store_task = std::function<void(store::key_value_client&, store_health&)>;
 
 /// All that the threads of a host share. Each ring has one producer and one consumer thread.
 struct channels {
--- a/include/shallotcove/daemon/metric.hpp
+++ b/include/shallotcove/daemon/metric.hpp
@@ -32,6 +32,12 @@
     SyncState,
     OperatorCalls,
     OperatorCallTime,
+    FlowsOffered,
+    FlowTime,
+    ServersSuspected,
+    Readiness,
+    KnownHosts,
+    LogLinesDropped,
 };
 
 enum class metric_kind : std::uint8_t { Counter, Gauge, Histogram };
@@ -95,6 +101,18 @@
         "Operator calls, by outcome.", { "operation", "outcome" } },
     metric_definition { metric::OperatorCallTime, "shallotcove_operator_call_seconds", metric_kind::Histogram,
         "Time to answer an operator call.", { "operation" } },
+    metric_definition { metric::FlowsOffered, "shallotcove_flows_offered_total", metric_kind::Counter,
+        "Flows offered to backend servers.", { "attempt" } },
+    metric_definition { metric::FlowTime, "shallotcove_flow_seconds", metric_kind::Histogram,
+        "Time from the first packet of a flow to its end.", { "route" } },
+    metric_definition { metric::ServersSuspected, "shallotcove_suspicions_total", metric_kind::Counter,
+        "Suspicions that began.", { "subject" } },
+    metric_definition { metric::Readiness, "shallotcove_readiness", metric_kind::Gauge,
+        "1 for the state of readiness that the host is in, 0 for the others.", { "state" } },
+    metric_definition { metric::KnownHosts, "shallotcove_known_hosts", metric_kind::Gauge,
+        "Hosts known, this one included.", {} },
+    metric_definition { metric::LogLinesDropped, "shallotcove_log_lines_dropped_total", metric_kind::Counter,
+        "Lines dropped at the limit of the log.", {} },
 };
 
 constexpr const metric_definition& definitionOf(metric id)
--- a/include/shallotcove/daemon/metrics.hpp
+++ b/include/shallotcove/daemon/metrics.hpp
@@ -20,6 +20,9 @@
     /// Listens on the address; fails with the reason.
     static tl::expected<std::unique_ptr<metrics>, std::string> create(const core::socket_address&);
 
+    /// Holds the metrics only, for a host that serves their text itself.
+    static std::unique_ptr<metrics> createUnserved();
+
     ~metrics();
 
     // Label values come in the order of the table. A call that does not fit the metric's kind does nothing.
@@ -30,6 +33,8 @@
     void set(metric, const label_values&, double value);
     void observe(metric, const label_values&, double value);
 
+    /// All metrics in the text format of Prometheus.
+    std::string text() const;
     /// Where the metrics are served, with the port that the system chose.
     core::socket_address address() const;
 
--- a/include/shallotcove/daemon/settings.hpp
+++ b/include/shallotcove/daemon/settings.hpp
@@ -43,7 +43,7 @@
 struct log_settings {
     log_level level { log_level::Info };
     log_format format { log_format::Json };
-    /// Standard error if empty.
+    /// Standard output if empty.
     std::string file;
 
     friend bool operator==(const log_settings&, const log_settings&) = default;
@@ -88,6 +88,9 @@
 /// Parses and validates settings. All problems are reported together, in the order of their lines.
 tl::expected<settings, settings_problems> parseSettings(std::string_view json);
 
+/// The text of a settings file; a file that cannot be read is one problem with line 0.
+tl::expected<std::string, settings_problems> readSettingsText(const std::string& fileName);
+
 /// Reads and parses a file; a file that cannot be read is one problem with line 0.
 tl::expected<settings, settings_problems> readSettings(const std::string& fileName);
 
--- /dev/null
+++ b/include/shallotcove/daemon/tagged_settings.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/daemon/settings.hpp>
+
+namespace shallotcove::daemon {
+
+/// Limits of the log and of the process.
+struct tagged_limits {
+    /// Lines per second on average, with a burst of as many; more are counted and dropped.
+    std::size_t logLinesPerSecond { 400 };
+    /// Flows that the host holds at most, 300 bytes each.
+    std::size_t flows { 16384 };
+
+    friend bool operator==(const tagged_limits&, const tagged_limits&) = default;
+};
+
+/// Settings of a host on a transport whose packets carry the tag of their backend server (docs/settings-tagged.md).
+struct tagged_settings {
+    std::string name;
+    std::string dataCentre;
+    core::socket_address packetAddress;
+    core::socket_address readinessAddress;
+    core::socket_address peerAddress;
+    core::socket_address metricsAddress;
+    core::socket_address storeAddress;
+    /// Hosts to join through; their peer port is that of this host.
+    std::vector<core::socket_address> seeds;
+    /// Region of each data centre.
+    std::map<std::string, std::string> regions;
+    log_level logLevel { log_level::Info };
+    tagged_limits limits;
+    /// Longest graceful shutdown.
+    std::chrono::milliseconds shutdownTimeout { 5000 };
+
+    friend bool operator==(const tagged_settings&, const tagged_settings&) = default;
+};
+
+/// Whether the settings are those of a host on the tagged transport.
+bool isTaggedTransport(std::string_view json);
+
+/// Parses and validates settings. All problems are reported together, in the order of their lines.
+tl::expected<tagged_settings, settings_problems> parseTaggedSettings(std::string_view json);
+
+} // namespace shallotcove::daemon
--- /dev/null
+++ b/include/shallotcove/steering/flow_ledger.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/caller_packet.hpp>
+
+namespace shallotcove::steering {
+
+enum class flow_state : std::uint8_t {
+    /// Offered to a server; the caller has not acknowledged one yet.
+    Opening,
+    Open,
+    /// Kept for a moment to recognise late copies of the first packet.
+    Ended,
+};
+
+/// What this host knows of a flow. The tag in its packets is enough to steer it; this is for load, evidence and
+/// repeated first packets.
+struct flow_record {
+    flow_state state { flow_state::Opening };
+    /// The server that has the flow, or that it was offered to last.
+    server_tag server;
+    /// All servers that it was offered to, the last one included.
+    std::vector<server_tag> offered;
+    caller_packet opening;
+    core::timestamp startedAt;
+    core::timestamp offeredAt;
+    core::timestamp lastPacketAt;
+    /// Silence after which the flow no longer counts.
+    core::duration idleLimit {};
+};
+
+/// Bounded table of the flows that entered through this host.
+class flow_ledger {
+public:
+    using released_handler = std::function<void(const flow_record&)>;
+
+    explicit flow_ledger(std::size_t capacity);
+
+    /// Null if the table is full.
+    flow_record* add(const flow_address&);
+    flow_record* find(const flow_address&);
+    void erase(const flow_address&);
+    /// Removes idle and ended flows; hands over those that had not ended.
+    void expire(core::timestamp now, core::duration memoryOfEnded, const released_handler&);
+
+    std::size_t size() const { return m_flows.size(); }
+
+private:
+    std::size_t m_capacity;
+    std::unordered_map<flow_address, flow_record> m_flows;
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/neighbour_message.hpp>
+
+namespace shallotcove::steering {
+
+struct host_directory_options {
+    known_host self;
+    /// Hosts to join through; some may be gone.
+    std::vector<std::uint32_t> seeds;
+
+    /// How often a neighbour gets this host's loads: the time of a few placements on a busy host.
+    core::duration loadInterval { std::chrono::milliseconds { 50 } };
+    /// Messages to neighbours per second, over which the interval grows with their number.
+    double messagesPerSecond { 100 };
+    /// Interval while the loads stay the same. Well below the time that a neighbour takes them for valid.
+    core::duration idleInterval { std::chrono::milliseconds { 200 } };
+    /// Interval between data centres, whose links are priced.
+    core::duration farInterval { std::chrono::milliseconds { 2000 } };
+    /// The same while this host needs to know which data centres it can reach.
+    core::duration urgentFarInterval { std::chrono::milliseconds { 250 } };
+    core::duration seedInterval { std::chrono::milliseconds { 1000 } };
+    /// A silent host gets messages this long, and is counted among all hosts for the longer time.
+    core::duration silence { std::chrono::seconds { 10 } };
+    core::duration memory { std::chrono::seconds { 120 } };
+};
+
+struct outgoing_message {
+    std::uint32_t to {};
+    neighbour_message message;
+};
+
+/// Finds the other hosts through seeds and what hosts tell each other, and decides who gets which message when.
+/// The store is not needed for it.
+class host_directory {
+public:
+    explicit host_directory(host_directory_options);
+
+    // Commands.
+
+    /// The answer, if the message asks for one.
+    std::optional<outgoing_message> handle(
+        std::uint32_t from, const neighbour_message&, std::uint64_t storeRevision, core::timestamp now);
+    std::vector<outgoing_message> advance(
+        const load_report&, std::uint64_t storeRevision, bool isUrgent, core::timestamp now);
+    /// Whether the set of known hosts changed since the last call.
+    bool takeChanged();
+
+    // Queries.
+
+    /// Addresses of all known hosts, this one included, sorted.
+    std::vector<std::uint32_t> addresses() const;
+    /// Whether a host of the data centre was heard at or after this time.
+    bool wasHeard(const std::string& dataCentre, core::timestamp since) const;
+    bool knowsHostsIn(const std::string& dataCentre) const;
+    /// The highest revision of the store that a host told of.
+    std::uint64_t highestRevision() const { return m_highestRevision; }
+
+private:
+    struct contact {
+        std::string dataCentre;
+        std::optional<core::timestamp> heardAt;
+        std::optional<core::timestamp> sentAt;
+        core::timestamp knownSince;
+    };
+
+    neighbour_message greeting(std::uint64_t storeRevision) const;
+    core::duration intervalOf(const contact&, bool isUrgent, bool hasNewLoads) const;
+    std::size_t neighbourCount() const;
+    void learn(const known_host&, core::timestamp now);
+
+    host_directory_options m_options;
+    std::map<std::uint32_t, contact> m_contacts;
+    std::map<std::uint32_t, core::timestamp> m_seedsAskedAt;
+    load_report m_lastLoads;
+    core::timestamp m_loadsSentAt;
+    bool m_isChanged { true };
+    std::uint64_t m_highestRevision {};
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/load_report.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <shallotcove/steering/server_tag.hpp>
+
+namespace shallotcove::steering {
+
+struct server_load {
+    server_tag server;
+    std::uint32_t openFlows {};
+
+    friend bool operator==(const server_load&, const server_load&) = default;
+};
+
+/// Open flows of one host at each backend server; servers without flows are left out.
+using load_report = std::vector<server_load>;
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/neighbour_message.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <shallotcove/steering/load_report.hpp>
+
+namespace shallotcove::steering {
+
+/// A host that may place flows.
+struct known_host {
+    /// IPv4 address in host byte order; the port is the same on all hosts.
+    std::uint32_t address {};
+    std::string dataCentre;
+
+    friend bool operator==(const known_host&, const known_host&) = default;
+};
+
+/// Message between two hosts.
+struct neighbour_message {
+    std::string dataCentre;
+    /// Revision of the store that the sender knows everything up to.
+    std::uint64_t storeRevision {};
+    /// Asks for the hosts that the receiver knows.
+    bool wantsHosts {};
+    std::vector<known_host> hosts;
+    /// Empty between data centres.
+    load_report loads;
+
+    friend bool operator==(const neighbour_message&, const neighbour_message&) = default;
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/placement.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+
+#include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/data_centre_evidence.hpp>
+#include <shallotcove/steering/packet_decision.hpp>
+#include <shallotcove/steering/server_tag.hpp>
+
+namespace shallotcove::steering {
+
+class cold_admission;
+struct route;
+struct server_record;
+struct steering_options;
+
+/// What decides where a new flow goes, besides the servers themselves.
+struct placement_context {
+    const steering_options& options;
+    const std::set<std::string>& dataCentresOut;
+    const std::map<std::string, data_centre_evidence>& dataCentres;
+    cold_admission& cold;
+    /// Limit of a cold server of the service; 0 for none.
+    double coldFlowsPerSecond {};
+    /// Position of this host among the hosts of its data centre that place flows.
+    std::size_t hostIndex {};
+    std::size_t hostCount { 1 };
+    core::timestamp now;
+};
+
+/// A server for a new flow, or why there is none.
+struct placement {
+    server_record* server {};
+    packet_reason failure { packet_reason::None };
+    /// Servers that may take new flows by their state and the operators' configuration.
+    std::uint32_t permitted {};
+    /// Permitted servers that this host believes to be reachable.
+    std::uint32_t trusted {};
+};
+
+/// Chooses the server that answers soonest: few open flows for its slots, near, warm, not suspect. Answers the
+/// usual load of a data centre whose hosts each see a part of the flows: equal servers are taken in an order
+/// that differs from host to host, so that hosts do not meet at the same one.
+placement placeFlow(std::span<server_record* const> servers, std::span<const server_tag> offered, const route&,
+    const placement_context&);
+
+/// Wait before the server begins with one more request, in times of one request.
+double queueLength(const server_record&);
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/routing_config.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <shallotcove/steering/route.hpp>
+#include <shallotcove/steering/service_rules.hpp>
+
+namespace shallotcove::steering {
+
+/// The operators' configuration, one version in full.
+struct routing_config {
+    std::uint64_t version {};
+    std::vector<route> routes;
+    std::vector<service_rules> services;
+
+    friend bool operator==(const routing_config&, const routing_config&) = default;
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+#include <shallotcove/steering/caller_packet.hpp>
+#include <shallotcove/steering/cold_admission.hpp>
+#include <shallotcove/steering/data_centre_evidence.hpp>
+#include <shallotcove/steering/flow_ledger.hpp>
+#include <shallotcove/steering/load_report.hpp>
+#include <shallotcove/steering/neighbour_loads.hpp>
+#include <shallotcove/steering/opening_timer.hpp>
+#include <shallotcove/steering/packet_decision.hpp>
+#include <shallotcove/steering/placement.hpp>
+#include <shallotcove/steering/route.hpp>
+#include <shallotcove/steering/server_directory.hpp>
+#include <shallotcove/steering/steering_note.hpp>
+#include <shallotcove/steering/steering_options.hpp>
+
+namespace shallotcove::steering {
+
+struct routing_config;
+struct service_rules;
+
+/// An opening packet that goes to another server because the former did not answer.
+struct repeated_offer {
+    caller_packet opening;
+    packet_decision decision;
+};
+
+/// Decides on the packets of callers where packets carry the tag of their backend server. Any host can steer any
+/// packet but the first of a flow by the tag alone; hosts agree on nothing. No sockets, threads, clocks or logs:
+/// the result depends on the calls, their times and the seed.
+class steering_engine {
+public:
+    explicit steering_engine(steering_options);
+
+    // Commands: knowledge.
+
+    void applyConfig(std::shared_ptr<const routing_config>);
+    void applyServer(const server_entry&, core::timestamp now);
+    void removeServer(std::string_view serverId, bool isDoubtful, core::timestamp now);
+    void setDataCentreOut(const std::string& dataCentre, bool isOut, core::timestamp now);
+    /// Whether configuration and servers are known well enough to serve, and to tell callers of missing routes.
+    void setInformed(bool isInformed) { m_isInformed = isInformed; }
+    void applyNeighbourLoads(std::uint32_t hostAddress, const load_report&, core::timestamp now);
+    /// Addresses of all hosts known, this one included; they share the limits of cold servers.
+    void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self);
+    /// Another data centre can be reached again, by other evidence than flows.
+    void trustDataCentre(const std::string& dataCentre);
+
+    // Commands: traffic.
+
+    packet_decision handlePacket(const caller_packet&, core::timestamp now);
+    /// Timed work; gives the opening packets that go to another server now.
+    std::vector<repeated_offer> advance(core::timestamp now);
+    std::vector<steering_note> takeNotes();
+
+    // Queries.
+
+    /// When advance() has something to do next; at most a second away.
+    core::timestamp nextDeadline(core::timestamp now) const;
+    load_report loads() const;
+    /// Share of the latest new flows, 0 to 1, that have servers which this host cannot reach.
+    double unreachableShare(core::timestamp now) const;
+    /// Data centres of the servers that may take new flows.
+    std::set<std::string> servingDataCentres() const;
+    std::size_t flowCount() const { return m_ledger.size(); }
+    const server_directory& servers() const { return m_servers; }
+
+private:
+    struct offer_deadline {
+        core::timestamp at;
+        flow_address flow;
+        /// Tells whether the flow has been offered again since.
+        core::timestamp offeredAt;
+
+        friend bool operator>(const offer_deadline& left, const offer_deadline& right)
+        {
+            return left.at > right.at;
+        }
+    };
+
+    /// New flows of a service in the last second or two.
+    struct service_traffic {
+        core::timestamp since;
+        double recent {};
+        double unreachable {};
+    };
+
+    packet_decision handleOpening(const caller_packet&, core::timestamp now);
+    packet_decision handleKnown(const caller_packet&, flow_record&, core::timestamp now);
+    packet_decision handleUnknown(const caller_packet&, core::timestamp now);
+    packet_decision offer(const caller_packet&, flow_record*, const route&, core::timestamp now);
+    packet_decision refuse(const caller_packet&, packet_reason, const placement&, core::timestamp now);
+    packet_decision forwardTo(const server_record&, core::timestamp now) const;
+    void open(const caller_packet&, flow_record&, core::timestamp now);
+    void end(flow_record&, core::timestamp now, note_kind);
+    void release(server_tag);
+    void recordUnanswered(server_tag, core::timestamp now);
+    void recordAnswered(server_record&, core::timestamp now);
+    void countTraffic(const std::string& service, const placement&, core::timestamp now);
+    const route* findRoute(const flow_address&) const;
+    const std::string* chooseService(const route&);
+    placement_context contextFor(const std::string& service, core::timestamp now);
+    steering_note noteOf(note_kind, const caller_packet&, const server_record*, core::timestamp now) const;
+
+    steering_options m_options;
+    pcg32 m_random;
+    bool m_isInformed {};
+    std::uint32_t m_self {};
+    std::shared_ptr<const routing_config> m_config;
+    std::map<route_address, const route*> m_routes;
+    std::map<std::string, const service_rules*, std::less<>> m_rules;
+    std::map<std::string, core::timestamp> m_outSince;
+    std::set<std::string> m_dataCentresOut;
+    server_directory m_servers;
+    std::map<std::string, data_centre_evidence> m_dataCentres;
+    flow_ledger m_ledger;
+    neighbour_loads m_neighbours;
+    cold_admission m_cold;
+    opening_timer m_openings;
+    std::priority_queue<offer_deadline, std::vector<offer_deadline>, std::greater<>> m_deadlines;
+    std::map<std::string, service_traffic> m_traffic;
+    core::timestamp m_nextSweep;
+    std::vector<steering_note> m_notes;
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/steering_options.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <shallotcove/core/time.hpp>
+
+namespace shallotcove::steering {
+
+/// Limits and time-outs of the decisions on flows. Defaults suit callers within 20 ms.
+struct steering_options {
+    std::string dataCentre;
+    /// Region of each data centre.
+    std::map<std::string, std::string> regions;
+    /// Seeds the choice between services of a split route.
+    std::uint64_t randomSeed { 1 };
+
+    /// Bounds of the time that an opening packet may stay without the caller's acknowledgement before it goes to
+    /// another server. Between them it follows the measured time, like TCP's retransmission time-out.
+    core::duration shortestOpeningPatience { std::chrono::milliseconds { 25 } };
+    core::duration longestOpeningPatience { std::chrono::milliseconds { 150 } };
+    core::duration firstOpeningPatience { std::chrono::milliseconds { 45 } };
+    /// Servers that one flow may be offered to. The caller sends three copies itself.
+    std::uint32_t attemptsPerFlow { 4 };
+
+    /// Unanswered opening packets in a row that make a server suspect. One can be a lost datagram.
+    std::uint32_t unansweredUntilSuspect { 2 };
+    /// How long a suspect gets no new flows; doubles up to the longest with each failed trial.
+    core::duration shortestSuspicion { std::chrono::milliseconds { 1000 } };
+    core::duration longestSuspicion { std::chrono::milliseconds { 4000 } };
+    /// Silent servers that make their whole data centre suspect, if no server of it answered since.
+    std::size_t silentServersUntilSuspect { 2 };
+
+    /// A server whose entry vanished while the store was in trouble stays in use this long: entries that lapsed
+    /// meanwhile are back within two seconds of the store's return.
+    core::duration doubtAfterRemoval { std::chrono::milliseconds { 2000 } };
+    /// Servers that left are remembered for the longest life of a flow, with a margin.
+    core::duration memoryOfServers { std::chrono::seconds { 90 } };
+    /// After this time packets of open flows no longer go into a data centre that was taken out.
+    core::duration evacuationGrace { std::chrono::milliseconds { 4000 } };
+
+    /// Flows that the ledger holds at most; later ones are steered by their packets alone.
+    std::size_t ledgerFlows { 16384 };
+    /// An ended flow stays known this long, so that late copies of its first packet are recognised.
+    core::duration memoryOfEndedFlows { std::chrono::milliseconds { 2000 } };
+    /// A flow of a route without a timeout counts as load this long after its last packet.
+    core::duration idleFlow { std::chrono::seconds { 8 } };
+
+    /// Cost of a server in another data centre, in waits for one request: its packets cross a priced link.
+    double otherDataCentreCost { 0.75 };
+    /// Cost of a cold server, in waits for one request.
+    double coldServerCost { 0.3 };
+    /// Loads that neighbours report count this long.
+    core::duration neighbourLoadLifetime { std::chrono::milliseconds { 400 } };
+    /// Hosts assumed to share the limit of a cold server while none is known.
+    std::size_t assumedHosts { 16 };
+};
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/include/shallotcove/steering/store_view.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/store_change.hpp>
+
+namespace shallotcove::steering {
+
+/// A change that is in force from now on.
+struct view_update {
+    store_change change;
+    /// For a removed server: its entry may only have lapsed while the store was in trouble.
+    bool isDoubtful {};
+
+    friend bool operator==(const view_update&, const view_update&) = default;
+};
+
+struct store_view_options {
+    /// Entries that vanish this soon after trouble with the store may have lapsed: they do after three heartbeats
+    /// and the store's own recovery.
+    core::duration troubleWindow { std::chrono::seconds { 10 } };
+};
+
+/// What a host holds to be in the store. Nothing in force goes back, however late, stale or incomplete the answers
+/// of the store are.
+class store_view {
+public:
+    explicit store_view(const store_view_options& options = {});
+
+    /// A change that a watch reports. Nothing if it is older than what is in force, or changes nothing.
+    std::optional<view_update> apply(store_change, core::timestamp now);
+    /// All items at a revision. Items that are in force and not listed are gone. A listing from before the latest
+    /// known revision is ignored.
+    std::vector<view_update> applyListing(
+        std::vector<store_change>, std::uint64_t revision, core::timestamp now);
+    /// A watch reported everything up to this revision.
+    void advanceTo(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
+    /// The store did not answer, or refused.
+    void recordTrouble(core::timestamp now) { m_troubleAt = now; }
+
+    /// Revision up to which everything is known.
+    std::uint64_t revision() const { return m_revision; }
+    std::uint64_t configVersion() const { return m_configVersion; }
+    /// Whether configuration and servers have been read once.
+    bool isComplete() const { return m_configVersion > 0 && m_hasListing; }
+
+private:
+    struct known_item {
+        std::uint64_t revision {};
+        item_content content;
+    };
+
+    bool isDoubtful(const known_item&, core::timestamp now) const;
+
+    core::duration m_troubleWindow;
+    std::map<item_key, known_item> m_items;
+    std::uint64_t m_revision {};
+    std::uint64_t m_configVersion {};
+    bool m_hasListing {};
+    std::optional<core::timestamp> m_troubleAt;
+};
+
+} // namespace shallotcove::steering
--- a/include/shallotcove/platform/host_list_client.hpp
+++ b/include/shallotcove/store/host_list_client.hpp
@@ -14,7 +14,7 @@
 class io_context;
 }
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 enum class host_list_error : std::uint8_t { Unavailable, ProtocolError };
 
@@ -42,4 +42,4 @@
     std::shared_ptr<implementation> m_implementation;
 };
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/json_text.hpp
+++ b/include/shallotcove/store/json_text.hpp
@@ -7,7 +7,7 @@
 
 #include <json/value.h>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 /// Parses one JSON value that takes up the whole text.
 std::optional<Json::Value> parseJson(std::string_view text);
@@ -21,4 +21,4 @@
 /// malformed.
 std::optional<std::int64_t> readNumber(const Json::Value& object, const char* field);
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/include/shallotcove/platform/key_value_client.hpp
+++ b/include/shallotcove/store/key_value_client.hpp
@@ -17,7 +17,7 @@
 class io_context;
 }
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 enum class store_error : std::uint8_t {
     /// No connection: the request was not sent.
@@ -97,4 +97,4 @@
     std::shared_ptr<implementation> m_implementation;
 };
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/core/control_state.hpp
+++ b/src/core/control_state.hpp
@@ -22,7 +22,7 @@
 #include "prober.hpp"
 #include "snapshot_builder.hpp"
 #include "sync_tracker.hpp"
-#include "token_bucket.hpp"
+#include <shallotcove/core/token_bucket.hpp>
 
 namespace shallotcove::core {
 
--- a/src/core/service_view.hpp
+++ b/src/core/service_view.hpp
@@ -8,7 +8,7 @@
 #include <shallotcove/core/routing_snapshot.hpp>
 
 #include "flow_counters.hpp"
-#include "token_bucket.hpp"
+#include <shallotcove/core/token_bucket.hpp>
 
 namespace shallotcove::core {
 
--- a/src/core/track_sender.hpp
+++ b/src/core/track_sender.hpp
@@ -6,7 +6,7 @@
 
 #include <shallotcove/core/packet_engine.hpp>
 
-#include "token_bucket.hpp"
+#include <shallotcove/core/token_bucket.hpp>
 
 namespace shallotcove::core {
 
--- a/src/daemon/config_change.cpp
+++ b/src/daemon/config_change.cpp
@@ -25,10 +25,10 @@
     return { rpc::operator_error::InvalidArgument, failure.message };
 }
 
-rpc::call_failure toFailure(platform::store_error error, bool isWrite)
+rpc::call_failure toFailure(store::store_error error, bool isWrite)
 {
     // Only a request that was not sent is known to have had no effect.
-    if (isWrite && error != platform::store_error::Unavailable)
+    if (isWrite && error != store::store_error::Unavailable)
         return { rpc::operator_error::OutcomeUnknown,
             "the store did not answer the write (" + nameOf(error)
                 + "); repeat the call with the same operationId to learn the outcome" };
--- a/src/daemon/config_change.hpp
+++ b/src/daemon/config_change.hpp
@@ -11,17 +11,17 @@
 #include <shallotcove/core/config_json.hpp>
 #include <shallotcove/core/control_engine.hpp>
 #include <shallotcove/core/operations.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 #include <shallotcove/rpc/call_result.hpp>
 
 namespace shallotcove::daemon {
 
-using entry_answer = tl::expected<std::optional<core::store_entry>, platform::store_error>;
+using entry_answer = tl::expected<std::optional<core::store_entry>, store::store_error>;
 
 /// Where configuration is read and written; operator_store in the daemon, a fake in tests.
 template <typename Store>
 concept config_store
-    = requires(Store store, std::string key, std::vector<platform::key_swap> swaps, core::config_index index)
+    = requires(Store store, std::string key, std::vector<store::key_swap> swaps, core::config_index index)
 {
     {
         store.known(key)
@@ -31,7 +31,7 @@
         } -> std::same_as<entry_answer>;
     {
         store.swap(swaps)
-        } -> std::same_as<tl::expected<platform::swap_result, platform::store_error>>;
+        } -> std::same_as<tl::expected<store::swap_result, store::store_error>>;
     {
         store.hostsBehind(index)
         } -> std::same_as<std::optional<std::vector<std::string>>>;
@@ -47,7 +47,7 @@
 };
 
 rpc::call_failure toFailure(const core::operation_failure&);
-rpc::call_failure toFailure(platform::store_error, bool isWrite);
+rpc::call_failure toFailure(store::store_error, bool isWrite);
 rpc::call_failure invalidValue(const std::string& key, const core::config_problems&);
 
 /// Whether a change applies to the value that the host knows or to the one read from the store.
@@ -70,7 +70,7 @@
         const current_value<Config>&, value_source)>
         apply {};
     /// Adds the keys that change together with the value. May be empty.
-    std::function<tl::expected<std::vector<platform::key_swap>, rpc::call_failure>(
+    std::function<tl::expected<std::vector<store::key_swap>, rpc::call_failure>(
         const Config& changed, value_source)>
         companions {};
 };
@@ -150,10 +150,10 @@
             if (race)
                 return outcome(tl::unexpected(*race));
         }
-        std::vector<platform::key_swap> swaps { { m_change.key, current.modified,
+        std::vector<store::key_swap> swaps { { m_change.key, current.modified,
             m_change.format(result->config) } };
         if (m_change.companions) {
-            const tl::expected<std::vector<platform::key_swap>, rpc::call_failure> others
+            const tl::expected<std::vector<store::key_swap>, rpc::call_failure> others
                 = m_change.companions(result->config, source);
             if (!others)
                 return outcome(tl::unexpected(others.error()));
@@ -163,9 +163,9 @@
     }
 
     std::optional<outcome> write(const core::operation_result<Config>& result,
-        const std::vector<platform::key_swap>& swaps, std::uint64_t revision)
+        const std::vector<store::key_swap>& swaps, std::uint64_t revision)
     {
-        const tl::expected<platform::swap_result, platform::store_error> written = m_store.swap(swaps);
+        const tl::expected<store::swap_result, store::store_error> written = m_store.swap(swaps);
         if (!written)
             return outcome(tl::unexpected(toFailure(written.error(), true)));
         if (written->wasWritten)
--- a/src/daemon/config_commands.hpp
+++ b/src/daemon/config_commands.hpp
@@ -39,7 +39,7 @@
     accepted_service createService(const core::new_service& wanted, const core::operation_context& context)
     {
         config_change<core::service_config> change = serviceChange(wanted.name, context);
-        std::optional<platform::key_swap> nextId;
+        std::optional<store::key_swap> nextId;
         change.apply = [&](const current_value<core::service_config>& current, value_source source) {
             return applyCreate(wanted, context, current, source, nextId);
         };
@@ -85,7 +85,7 @@
 
 private:
     using service_applied = tl::expected<core::operation_result<core::service_config>, rpc::call_failure>;
-    using swaps_or_failure = tl::expected<std::vector<platform::key_swap>, rpc::call_failure>;
+    using swaps_or_failure = tl::expected<std::vector<store::key_swap>, rpc::call_failure>;
 
     template <typename Config>
     static tl::expected<core::operation_result<Config>, rpc::call_failure> translated(
@@ -126,7 +126,7 @@
 
     service_applied applyCreate(const core::new_service& wanted, const core::operation_context& context,
         const current_value<core::service_config>& current, value_source source,
-        std::optional<platform::key_swap>& nextId)
+        std::optional<store::key_swap>& nextId)
     {
         const entry_answer counter = find(nextServiceIdKey, source);
         if (!counter)
@@ -134,7 +134,7 @@
         const tl::expected<core::service_id, rpc::call_failure> fresh = parseNextServiceId(*counter);
         if (!fresh)
             return tl::unexpected(fresh.error());
-        nextId = platform::key_swap { nextServiceIdKey,
+        nextId = store::key_swap { nextServiceIdKey,
             *counter ? (*counter)->modified : core::config_index {}, std::to_string(fresh->value + 1) };
         // The name of a removed service is free once no host can still hold the old value.
         const bool isReplaceable = current.config && current.config->state == core::service_state::Removing
@@ -151,7 +151,7 @@
     }
 
     swaps_or_failure reserveAddress(
-        const core::service_config& created, value_source source, const platform::key_swap& nextId)
+        const core::service_config& created, value_source source, const store::key_swap& nextId)
     {
         const std::string key = core::addressKey(created.address, created.protocol);
         const entry_answer reservation = find(key, source);
@@ -160,11 +160,11 @@
         const core::config_index modified = *reservation ? (*reservation)->modified : core::config_index {};
         const std::optional<std::vector<std::string>> behind = m_store.hostsBehind(modified);
         if (!behind)
-            return tl::unexpected(toFailure(platform::store_error::Unavailable, false));
+            return tl::unexpected(toFailure(store::store_error::Unavailable, false));
         if (const tl::expected<void, rpc::call_failure> free = checkAddress(created, *reservation, *behind);
             !free)
             return tl::unexpected(free.error());
-        return std::vector<platform::key_swap> {
+        return std::vector<store::key_swap> {
             { key, modified, core::formatAddressReservation({ created.name, created.id, false }) }, nextId
         };
     }
@@ -175,7 +175,7 @@
         const entry_answer reservation = find(key, source);
         if (!reservation)
             return tl::unexpected(toFailure(reservation.error(), false));
-        return std::vector<platform::key_swap> { { key,
+        return std::vector<store::key_swap> { { key,
             *reservation ? (*reservation)->modified : core::config_index {},
             core::formatAddressReservation({ removed.name, removed.id, true }) } };
     }
--- a/src/daemon/config_commands_test.cpp
+++ b/src/daemon/config_commands_test.cpp
@@ -6,7 +6,7 @@
 #include <criterion/criterion.h>
 
 namespace core = shallotcove::core;
-namespace platform = shallotcove::platform;
+namespace store = shallotcove::store;
 namespace rpc = shallotcove::rpc;
 namespace daemon_ns = shallotcove::daemon;
 
@@ -20,7 +20,7 @@
     bool isReadable { true };
     /// Runs before the next swaps, one for each.
     std::deque<std::function<void()>> beforeSwap;
-    std::optional<platform::store_error> swapError;
+    std::optional<store::store_error> swapError;
     /// Whether a swap with an error takes effect.
     bool doesLostSwapWrite {};
     std::vector<std::string> behind;
@@ -40,7 +40,7 @@
     daemon_ns::entry_answer read(const std::string& key)
     {
         if (!isReadable)
-            return tl::unexpected(platform::store_error::AnswerLost);
+            return tl::unexpected(store::store_error::AnswerLost);
         return lookUp(stored, key);
     }
 
@@ -53,7 +53,7 @@
 
     void synchronize() { replica = stored; }
 
-    tl::expected<platform::swap_result, platform::store_error> swap(std::vector<platform::key_swap> list)
+    tl::expected<store::swap_result, store::store_error> swap(std::vector<store::key_swap> list)
     {
         ++swaps;
         if (!beforeSwap.empty()) {
@@ -62,19 +62,19 @@
         }
         if (swapError && !doesLostSwapWrite)
             return tl::unexpected(*swapError);
-        for (const platform::key_swap& entry : list) {
+        for (const store::key_swap& entry : list) {
             const auto found = stored.find(entry.key);
             const core::config_index now
                 = found == stored.end() ? core::config_index {} : found->second.modified;
             if (now != entry.expected)
-                return platform::swap_result { false, { revision } };
+                return store::swap_result { false, { revision } };
         }
         ++revision;
-        for (const platform::key_swap& entry : list)
+        for (const store::key_swap& entry : list)
             stored[entry.key] = { entry.key, { revision }, false, *entry.value };
         if (swapError)
             return tl::unexpected(*swapError);
-        return platform::swap_result { true, { revision } };
+        return store::swap_result { true, { revision } };
     }
 };
 
@@ -218,7 +218,7 @@
 {
     for (const bool isWritten : { true, false }) {
         fake_store store = withService();
-        store.swapError = platform::store_error::AnswerLost;
+        store.swapError = store::store_error::AnswerLost;
         store.doesLostSwapWrite = isWritten;
         const core::operation_context context = by("ion", "3");
         commands run(store);
@@ -249,7 +249,7 @@
         = run.changeService("absent", context, adding("10.0.0.2:6080", context));
     cr_assert(!unsure && unsure.error().error == rpc::operator_error::StoreUnavailable);
     store.synchronize();
-    store.swapError = platform::store_error::Unavailable;
+    store.swapError = store::store_error::Unavailable;
     const core::operation_context next = by("ion", "4");
     const daemon_ns::accepted_service unsent
         = run.changeService("mostre", next, adding("10.0.0.3:6080", next));
--- a/src/daemon/event_log.cpp
+++ b/src/daemon/event_log.cpp
@@ -74,7 +74,7 @@
     {
         log4cplus::SharedAppenderPtr appender;
         if (settings.file.empty())
-            appender = new log4cplus::ConsoleAppender(true, true);
+            appender = new log4cplus::ConsoleAppender(false, true);
         else
             appender = new log4cplus::FileAppender(settings.file, std::ios_base::app, true);
         appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
--- a/src/daemon/lease_keeper.cpp
+++ b/src/daemon/lease_keeper.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(boost::asio::io_context& context, platform::key_value_client& client,
+lease_keeper::lease_keeper(boost::asio::io_context& context, store::key_value_client& client,
     report_outbox& outbox, store_health& health, event_log& log, const lease_keeper_options& options)
     : m_timer(context)
     , m_client(client)
@@ -51,7 +51,7 @@
         m_log.write<event::LeaseReleased>();
         m_outbox.send(lease_state { false });
         // Without an answer the lease ends by itself.
-        m_client.revokeLease(m_lease, [](const tl::expected<std::monostate, platform::store_error>&) {});
+        m_client.revokeLease(m_lease, [](const tl::expected<std::monostate, store::store_error>&) {});
     }
     if (!m_isWanted)
         return;
@@ -66,7 +66,7 @@
 void lease_keeper::look()
 {
     m_client.readRange(
-        plannerKey, [this](const tl::expected<platform::store_range, platform::store_error>& answer) {
+        plannerKey, [this](const tl::expected<store::store_range, store::store_error>& answer) {
             if (!answer)
                 return failed("readRange", answer.error());
             m_health.succeeded("readRange");
@@ -84,7 +84,7 @@
 {
     const core::timestamp sentAt = monotonicNow();
     m_client.grantLease(
-        m_options.timeToLive, [this, sentAt](const tl::expected<std::int64_t, platform::store_error>& lease) {
+        m_options.timeToLive, [this, sentAt](const tl::expected<std::int64_t, store::store_error>& lease) {
             if (!lease)
                 return failed("grantLease", lease.error());
             m_health.succeeded("grantLease");
@@ -95,7 +95,7 @@
 void lease_keeper::take(std::int64_t lease, core::timestamp grantedAt)
 {
     m_client.compareAndSwap({ { plannerKey, {}, m_options.holderName } }, lease,
-        [this, lease, grantedAt](const tl::expected<platform::swap_result, platform::store_error>& answer) {
+        [this, lease, grantedAt](const tl::expected<store::swap_result, store::store_error>& answer) {
             if (!answer)
                 return failed("compareAndSwap", answer.error());
             m_health.succeeded("compareAndSwap");
@@ -114,9 +114,9 @@
 {
     const core::timestamp sentAt = monotonicNow();
     m_client.keepLeaseAlive(
-        m_lease, [this, sentAt](const tl::expected<std::chrono::seconds, platform::store_error>& answer) {
+        m_lease, [this, sentAt](const tl::expected<std::chrono::seconds, store::store_error>& answer) {
             if (!answer) {
-                if (answer.error() == platform::store_error::LeaseNotFound)
+                if (answer.error() == store::store_error::LeaseNotFound)
                     lose("LeaseNotFound");
                 return failed("keepLeaseAlive", answer.error());
             }
@@ -135,7 +135,7 @@
     m_outbox.send(lease_state { false });
 }
 
-void lease_keeper::failed(const char* call, platform::store_error error)
+void lease_keeper::failed(const char* call, store::store_error error)
 {
     m_health.failed(call, error);
     schedule(m_options.retryInterval);
--- a/src/daemon/lease_keeper.hpp
+++ b/src/daemon/lease_keeper.hpp
@@ -9,7 +9,7 @@
 
 #include <shallotcove/core/time.hpp>
 #include <shallotcove/daemon/event_log.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 #include "report_outbox.hpp"
 #include "store_health.hpp"
@@ -25,7 +25,7 @@
 /// Takes and keeps the planner's lease while it is wanted: the key "planner", bound to a lease of the store.
 class lease_keeper {
 public:
-    lease_keeper(boost::asio::io_context&, platform::key_value_client&, report_outbox&, store_health&,
+    lease_keeper(boost::asio::io_context&, store::key_value_client&, report_outbox&, store_health&,
         event_log&, const lease_keeper_options&);
 
     void setWanted(bool);
@@ -38,10 +38,10 @@
     void take(std::int64_t lease, core::timestamp grantedAt);
     void keep();
     void lose(const std::string& cause);
-    void failed(const char* call, platform::store_error);
+    void failed(const char* call, store::store_error);
 
     boost::asio::steady_timer m_timer;
-    platform::key_value_client& m_client;
+    store::key_value_client& m_client;
     report_outbox& m_outbox;
     store_health& m_health;
     event_log& m_log;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -8,6 +8,7 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 namespace shallotcove::daemon {
 
@@ -41,20 +42,26 @@
 
 class metrics::implementation {
 public:
-    explicit implementation(const core::socket_address& address)
+    implementation()
         : m_registry(std::make_shared<prometheus::Registry>())
-        // One thread is enough for a scraper or two, and keeps the memory of a host small.
-        , m_exposer(address.toString(), 1)
-        , m_address(address)
     {
-        m_exposer.RegisterCollectable(m_registry);
-        const std::vector<int> ports = m_exposer.GetListeningPorts();
-        if (!ports.empty())
-            m_address.port = static_cast<std::uint16_t>(ports.front());
         for (const metric_definition& row : metricTable)
             build(row);
     }
 
+    void serve(const core::socket_address& address)
+    {
+        // One thread is enough for a scraper or two, and keeps the memory of a host small.
+        m_exposer = std::make_unique<prometheus::Exposer>(address.toString(), 1);
+        m_address = address;
+        m_exposer->RegisterCollectable(m_registry);
+        const std::vector<int> ports = m_exposer->GetListeningPorts();
+        if (!ports.empty())
+            m_address.port = static_cast<std::uint16_t>(ports.front());
+    }
+
+    std::string text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
+
     prometheus::Counter* counter(metric id, const label_values& values)
     {
         const auto found = m_counters.find(id);
@@ -90,7 +97,7 @@
     }
 
     std::shared_ptr<prometheus::Registry> m_registry;
-    prometheus::Exposer m_exposer;
+    std::unique_ptr<prometheus::Exposer> m_exposer;
     core::socket_address m_address;
     family_map<prometheus::Counter> m_counters;
     family_map<prometheus::Gauge> m_gauges;
@@ -100,12 +107,21 @@
 tl::expected<std::unique_ptr<metrics>, std::string> metrics::create(const core::socket_address& address)
 {
     try {
-        return std::unique_ptr<metrics>(new metrics(std::make_unique<implementation>(address)));
+        std::unique_ptr<metrics> served = createUnserved();
+        served->m_implementation->serve(address);
+        return served;
     } catch (const std::exception& failure) {
         return tl::unexpected("cannot listen on " + address.toString() + ": " + failure.what());
     }
 }
 
+std::unique_ptr<metrics> metrics::createUnserved()
+{
+    return std::unique_ptr<metrics>(new metrics(std::make_unique<implementation>()));
+}
+
+std::string metrics::text() const { return m_implementation->text(); }
+
 metrics::metrics(std::unique_ptr<implementation> inner)
     : m_implementation(std::move(inner))
 {
--- a/src/daemon/operator_store.cpp
+++ b/src/daemon/operator_store.cpp
@@ -16,7 +16,7 @@
     const std::optional<answer> entry
         = ask<answer>([key](const control_view& view) { return view.engine.entry(key); });
     if (!entry)
-        return tl::unexpected(platform::store_error::Unavailable);
+        return tl::unexpected(store::store_error::Unavailable);
     if (*entry && (*entry)->isDeleted)
         return answer {};
     return *entry;
@@ -24,9 +24,9 @@
 
 operator_store::found_entry operator_store::read(const std::string& key)
 {
-    const answer_of<platform::store_range> range = call<platform::store_range>("readRange",
+    const answer_of<store::store_range> range = call<store::store_range>("readRange",
         [key](
-            platform::key_value_client& client, std::function<void(answer_of<platform::store_range>)> done) {
+            store::key_value_client& client, std::function<void(answer_of<store::store_range>)> done) {
             client.readRange(key, std::move(done));
         });
     if (!range)
@@ -39,12 +39,12 @@
     return std::optional<core::store_entry> { *found };
 }
 
-tl::expected<platform::swap_result, platform::store_error> operator_store::swap(
-    std::vector<platform::key_swap> swaps)
+tl::expected<store::swap_result, store::store_error> operator_store::swap(
+    std::vector<store::key_swap> swaps)
 {
-    return call<platform::swap_result>("compareAndSwap",
+    return call<store::swap_result>("compareAndSwap",
         [swaps](
-            platform::key_value_client& client, std::function<void(answer_of<platform::swap_result>)> done) {
+            store::key_value_client& client, std::function<void(answer_of<store::swap_result>)> done) {
             client.compareAndSwap(swaps, 0, std::move(done));
         });
 }
--- a/src/daemon/operator_store.hpp
+++ b/src/daemon/operator_store.hpp
@@ -12,7 +12,7 @@
 
 #include <shallotcove/core/control_engine.hpp>
 #include <shallotcove/daemon/channels.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 #include "store_health.hpp"
 
@@ -31,7 +31,7 @@
 /// the store. Each call waits for the answer.
 class operator_store {
 public:
-    using found_entry = tl::expected<std::optional<core::store_entry>, platform::store_error>;
+    using found_entry = tl::expected<std::optional<core::store_entry>, store::store_error>;
 
     operator_store(channels&, operator_store_options);
 
@@ -51,16 +51,16 @@
     found_entry known(const std::string& key);
     /// The entry of a key in the store now.
     found_entry read(const std::string& key);
-    tl::expected<platform::swap_result, platform::store_error> swap(std::vector<platform::key_swap>);
+    tl::expected<store::swap_result, store::store_error> swap(std::vector<store::key_swap>);
     /// Peer addresses of hosts that have not applied an index; nothing if it is not known.
     std::optional<std::vector<std::string>> hostsBehind(core::config_index);
 
 private:
-    template <typename Result> using answer_of = tl::expected<Result, platform::store_error>;
+    template <typename Result> using answer_of = tl::expected<Result, store::store_error>;
 
     template <typename Result>
     using start_call
-        = std::function<void(platform::key_value_client&, std::function<void(answer_of<Result>)>)>;
+        = std::function<void(store::key_value_client&, std::function<void(answer_of<Result>)>)>;
 
     template <typename Result> answer_of<Result> call(const char* name, start_call<Result> start)
     {
@@ -68,7 +68,7 @@
         const std::shared_ptr<promise> answer = std::make_shared<promise>();
         std::future<answer_of<Result>> future = answer->get_future();
         const bool isQueued = m_channels.storeTasks.push(
-            [answer, name, start](platform::key_value_client& client, store_health& health) {
+            [answer, name, start](store::key_value_client& client, store_health& health) {
                 start(client, [answer, name, &health](answer_of<Result> result) {
                     if (result)
                         health.succeeded(name);
@@ -78,12 +78,12 @@
                 });
             });
         if (!isQueued)
-            return tl::unexpected(platform::store_error::Unavailable);
+            return tl::unexpected(store::store_error::Unavailable);
         if (m_options.wakePlatform)
             m_options.wakePlatform();
         // The task may still run, so its outcome is unknown.
         if (future.wait_for(m_options.storeTimeout) != std::future_status::ready)
-            return tl::unexpected(platform::store_error::AnswerLost);
+            return tl::unexpected(store::store_error::AnswerLost);
         return future.get();
     }
 
--- a/src/daemon/packet_batch.cpp
+++ b/src/daemon/packet_batch.cpp
@@ -4,11 +4,12 @@
 
 namespace shallotcove::daemon {
 
-packet_batch::packet_batch()
-    : m_bytes(capacity * slotBytes)
+packet_batch::packet_batch(const packet_batch_options& options)
+    : m_options(options)
+    , m_bytes(capacity * options.slotBytes())
 {
     for (std::size_t i = 0; i < capacity; ++i) {
-        m_receivedParts[i] = { m_bytes.data() + i * slotBytes + headroom, maximumDatagram };
+        m_receivedParts[i] = { m_bytes.data() + i * options.slotBytes() + options.headroom, options.maximumDatagram };
         m_received[i].msg_hdr.msg_iov = &m_receivedParts[i];
         m_received[i].msg_hdr.msg_iovlen = 1;
         m_received[i].msg_hdr.msg_name = &m_sources[i];
@@ -28,7 +29,7 @@
 
 std::span<std::byte> packet_batch::datagram(std::size_t index)
 {
-    return { m_bytes.data() + index * slotBytes + headroom, m_received[index].msg_len };
+    return { m_bytes.data() + index * m_options.slotBytes() + m_options.headroom, m_received[index].msg_len };
 }
 
 bool packet_batch::isTruncated(std::size_t index) const
--- a/src/daemon/packet_batch.hpp
+++ b/src/daemon/packet_batch.hpp
@@ -14,17 +14,22 @@
 
 namespace shallotcove::daemon {
 
+struct packet_batch_options {
+    /// Bytes in front of a datagram: by default room for a GUE or redirect header in front of the inner packet.
+    std::size_t headroom { wire::redirectPrefixBytes + wire::gueHeaderBytes };
+    /// Longer datagrams are truncated; by default the payload of a jumbo frame.
+    std::size_t maximumDatagram { 9000 };
+
+    std::size_t slotBytes() const { return headroom + maximumDatagram; }
+};
+
 /// Buffers for a batch of datagrams received and sent with one system call each. Received bytes have room in
 /// front of them, so that headers are replaced in place and packets are never copied.
 class packet_batch {
 public:
     static constexpr std::size_t capacity = 64;
-    /// Room for a GUE or redirect header in front of the inner packet.
-    static constexpr std::size_t headroom = wire::redirectPrefixBytes + wire::gueHeaderBytes;
-    /// Payload of a jumbo frame; longer datagrams are dropped as truncated.
-    static constexpr std::size_t maximumDatagram = 9000;
 
-    packet_batch();
+    explicit packet_batch(const packet_batch_options& options = {});
 
     /// Receives what is waiting, without blocking. Gives the number of datagrams.
     std::size_t receive(const udp_socket&);
@@ -39,8 +44,7 @@
     void send(const udp_socket&, relaxed_counter& failed);
 
 private:
-    static constexpr std::size_t slotBytes = headroom + maximumDatagram;
-
+    packet_batch_options m_options;
     std::vector<std::byte> m_bytes;
     std::array<std::array<std::byte, wire::maximumRefusalBytes>, capacity> m_refusals {};
     std::array<mmsghdr, capacity> m_received {};
--- a/src/daemon/platform_parts_test.cpp
+++ b/src/daemon/platform_parts_test.cpp
@@ -10,7 +10,7 @@
 #include "host_fixture.hpp"
 
 namespace core = shallotcove::core;
-namespace platform = shallotcove::platform;
+namespace store = shallotcove::store;
 namespace daemon_ns = shallotcove::daemon;
 namespace testbench = shallotcove::testbench;
 namespace testing = shallotcove::daemon::testing;
@@ -28,7 +28,7 @@
     std::unique_ptr<daemon_ns::event_log> log { testing::errorLog() };
     std::atomic<bool> isAvailable { true };
     daemon_ns::ring<daemon_ns::platform_report> reports { 64 };
-    std::unique_ptr<platform::key_value_client> client;
+    std::unique_ptr<store::key_value_client> client;
     daemon_ns::report_outbox outbox;
     daemon_ns::store_health health { *log, isAvailable };
     daemon_ns::lease_keeper lease;
@@ -37,7 +37,7 @@
     std::vector<daemon_ns::store_changes> changes;
 
     explicit platform_side(store_and_loop& loop)
-        : client(platform::key_value_client::create(loop.context, options(loop)))
+        : client(store::key_value_client::create(loop.context, options(loop)))
         , outbox(loop.context, reports)
         , lease(loop.context, *client, outbox, health, *log,
               { "test", std::chrono::seconds { 1 }, std::chrono::milliseconds { 20 } })
@@ -45,9 +45,9 @@
     {
     }
 
-    static platform::key_value_client_options options(const store_and_loop& loop)
+    static store::key_value_client_options options(const store_and_loop& loop)
     {
-        platform::key_value_client_options result;
+        store::key_value_client_options result;
         result.address = loop.store->address();
         result.requestTimeout = std::chrono::milliseconds { 100 };
         return result;
@@ -56,7 +56,7 @@
     void put(const std::string& key)
     {
         client->compareAndSwap({ { key, {}, "x" } }, 0,
-            [](const tl::expected<platform::swap_result, platform::store_error>&) {});
+            [](const tl::expected<store::swap_result, store::store_error>&) {});
     }
 
     void take()
--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -8,8 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <shallotcove/daemon/clock.hpp>
-#include <shallotcove/platform/host_list_client.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/host_list_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 #include "lease_keeper.hpp"
 #include "report_outbox.hpp"
@@ -26,8 +26,8 @@
         , m_log(log)
         , m_work(boost::asio::make_work_guard(m_context.get_executor()))
         , m_poll(m_context)
-        , m_store(platform::key_value_client::create(m_context, storeOptions(options)))
-        , m_hosts(platform::host_list_client::create(
+        , m_store(store::key_value_client::create(m_context, storeOptions(options)))
+        , m_hosts(store::host_list_client::create(
               m_context, { options.hostList.address, options.store.requestTimeout }))
         , m_outbox(m_context, shared.fromPlatform)
         , m_health(log, shared.isStoreAvailable)
@@ -53,9 +53,9 @@
     void stop() { m_context.stop(); }
 
 private:
-    static platform::key_value_client_options storeOptions(const platform_worker_options& options)
+    static store::key_value_client_options storeOptions(const platform_worker_options& options)
     {
-        platform::key_value_client_options result;
+        store::key_value_client_options result;
         result.address = options.store.address;
         result.requestTimeout = options.store.requestTimeout;
         return result;
@@ -84,13 +84,13 @@
     {
         m_store->compareAndSwap({ { write.key, write.expected, write.value } }, 0,
             [this, key = write.key](
-                const tl::expected<platform::swap_result, platform::store_error>& answer) {
+                const tl::expected<store::swap_result, store::store_error>& answer) {
                 handleWritten(key, answer);
             });
     }
 
     void handleWritten(
-        const std::string& key, const tl::expected<platform::swap_result, platform::store_error>& answer)
+        const std::string& key, const tl::expected<store::swap_result, store::store_error>& answer)
     {
         if (answer) {
             m_health.succeeded("compareAndSwap");
@@ -100,7 +100,7 @@
         }
         m_health.failed("compareAndSwap", answer.error());
         // A request that was not sent did not write; any other may have.
-        if (answer.error() == platform::store_error::Unavailable)
+        if (answer.error() == store::store_error::Unavailable)
             return m_outbox.send(write_result { key, false });
         m_log.write<event::PlannerWriteLost>(key, nameOf(answer.error()));
         m_outbox.send(write_result { key, std::nullopt });
@@ -108,7 +108,7 @@
 
     void readHosts()
     {
-        m_hosts->read([this](tl::expected<std::vector<core::listed_host>, platform::host_list_error> hosts) {
+        m_hosts->read([this](tl::expected<std::vector<core::listed_host>, store::host_list_error> hosts) {
             handleHosts(std::move(hosts));
             countCalls();
             m_poll.expires_after(m_options.hostList.pollInterval);
@@ -119,13 +119,13 @@
         });
     }
 
-    void handleHosts(tl::expected<std::vector<core::listed_host>, platform::host_list_error> hosts)
+    void handleHosts(tl::expected<std::vector<core::listed_host>, store::host_list_error> hosts)
     {
         if (!hosts) {
             if (std::exchange(m_isListAvailable, false)) {
                 m_listOutageStart = monotonicNow();
                 m_log.write<event::HostListUnavailable>(
-                    hosts.error() == platform::host_list_error::Unavailable ? "Unavailable"
+                    hosts.error() == store::host_list_error::Unavailable ? "Unavailable"
                                                                             : "ProtocolError");
             }
             return;
@@ -146,8 +146,8 @@
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::asio::steady_timer m_poll;
-    std::unique_ptr<platform::key_value_client> m_store;
-    std::unique_ptr<platform::host_list_client> m_hosts;
+    std::unique_ptr<store::key_value_client> m_store;
+    std::unique_ptr<store::host_list_client> m_hosts;
     report_outbox m_outbox;
     store_health m_health;
     store_watcher m_watcher;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -8,6 +8,7 @@
 #include <json/json.h>
 
 #include "field_reader.hpp"
+#include "settings_json.hpp"
 
 namespace shallotcove::daemon {
 
@@ -60,15 +61,6 @@
         return left.port != 0 && left == right;
     }
 
-    template <typename Part>
-    void readNested(field_reader& fields, const char* name, presence need, void (*read)(field_reader, Part&),
-        Part& out, std::string_view text, settings_problems& problems)
-    {
-        const Json::Value* const object = fields.readObject(name, need);
-        if (object != nullptr)
-            read({ *object, name, text, problems }, out);
-    }
-
     settings readAll(const Json::Value& root, std::string_view text, settings_problems& problems)
     {
         settings result;
@@ -97,68 +89,35 @@
         return result;
     }
 
-    // jsoncpp reports "* Line 3, Column 5\n  Missing ',' ...\n" for each fault.
-    settings_problem syntaxProblem(const std::string& errors)
-    {
-        settings_problem problem { "", 1, "", "is not valid JSON: " };
-        std::istringstream lines(errors);
-        std::string position;
-        std::string message;
-        std::getline(lines, position);
-        std::getline(lines, message);
-        const std::size_t number = position.find_first_of("0123456789");
-        if (number != std::string::npos)
-            problem.line = std::stoul(position.substr(number));
-        problem.message += message.substr(std::min(message.size(), message.find_first_not_of(' ')));
-        return problem;
-    }
-
-    tl::expected<Json::Value, settings_problem> parseJson(std::string_view text)
-    {
-        Json::CharReaderBuilder builder;
-        Json::CharReaderBuilder::strictMode(&builder.settings_);
-        builder["allowComments"] = true;
-        builder["rejectDupKeys"] = true;
-        builder["stackLimit"] = 16;
-        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        Json::Value root;
-        std::string errors;
-        try {
-            if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors))
-                return tl::unexpected(syntaxProblem(errors));
-        } catch (const Json::Exception& failure) {
-            // Thrown for nesting above the stack limit.
-            return tl::unexpected(
-                settings_problem { "", 1, "", "is not valid JSON: " + std::string(failure.what()) });
-        }
-        return root;
-    }
-
 } // namespace
 
 tl::expected<settings, settings_problems> parseSettings(std::string_view json)
 {
-    const tl::expected<Json::Value, settings_problem> root = parseJson(json);
+    const tl::expected<Json::Value, settings_problems> root = parseSettingsObject(json);
     if (!root)
-        return tl::unexpected(settings_problems { root.error() });
-    if (!root->isObject())
-        return tl::unexpected(settings_problems { { "", 1, "", "must be a JSON object" } });
+        return tl::unexpected(root.error());
     settings_problems problems;
     settings result = readAll(*root, json, problems);
     if (problems.empty())
         return result;
-    std::stable_sort(problems.begin(), problems.end(),
-        [](const settings_problem& left, const settings_problem& right) { return left.line < right.line; });
-    return tl::unexpected(std::move(problems));
+    return tl::unexpected(inLineOrder(std::move(problems)));
 }
 
-tl::expected<settings, settings_problems> readSettings(const std::string& fileName)
+tl::expected<std::string, settings_problems> readSettingsText(const std::string& fileName)
 {
     std::ifstream file(fileName, std::ios::binary);
     std::ostringstream text;
     if (!file || !(text << file.rdbuf()))
         return tl::unexpected(settings_problems { { "", 0, "", "cannot be read" } });
-    return parseSettings(text.str());
+    return text.str();
+}
+
+tl::expected<settings, settings_problems> readSettings(const std::string& fileName)
+{
+    const tl::expected<std::string, settings_problems> text = readSettingsText(fileName);
+    if (!text)
+        return tl::unexpected(text.error());
+    return parseSettings(*text);
 }
 
 std::string formatProblem(const settings_problem& problem, const std::string& fileName)
--- /dev/null
+++ b/src/daemon/store_follower.cpp
@@ -0,0 +1,243 @@
+#include "store_follower.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include <boost/asio/steady_timer.hpp>
+#include <pcg_random.hpp>
+
+#include <platform/store_calls.hpp>
+
+#include <shallotcove/daemon/clock.hpp>
+#include <shallotcove/store/http_exchange.hpp>
+
+namespace shallotcove::daemon {
+
+namespace {
+
+    const char* textOf(store::http_error error)
+    {
+        switch (error) {
+        case store::http_error::NotSent:
+            return "notConnected";
+        case store::http_error::AnswerLost:
+            return "noAnswer";
+        case store::http_error::Malformed:
+            return "malformed";
+        }
+        return "unknown";
+    }
+
+    const char* textOf(platform::call_error error)
+    {
+        switch (error) {
+        case platform::call_error::TooManyCalls:
+            return "tooManyCalls";
+        case platform::call_error::Busy:
+            return "busy";
+        case platform::call_error::HistoryDropped:
+            return "historyDropped";
+        case platform::call_error::Unexpected:
+            return "unexpected";
+        }
+        return "unknown";
+    }
+
+    constexpr const char* rangeCall = "range";
+    constexpr const char* watchCall = "watch";
+
+} // namespace
+
+class store_follower::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(boost::asio::io_context& context, const store_follower_options& options,
+        steering::store_view& view, store_follower_events events)
+        : m_context(context)
+        , m_timer(context)
+        , m_options(options)
+        , m_view(view)
+        , m_events(std::move(events))
+        , m_random(options.randomSeed)
+    {
+    }
+
+    void readAll()
+    {
+        m_listing.clear();
+        m_listingRevision.reset();
+        readPage("");
+    }
+
+    void restart()
+    {
+        if (!m_isWatching)
+            return;
+        m_needsProbe = true;
+        watch();
+    }
+
+    void stop()
+    {
+        ++m_generation;
+        m_timer.cancel();
+    }
+
+    std::uint64_t callCount() const { return m_calls; }
+    core::timestamp answeredAt() const { return m_answeredAt; }
+
+private:
+    using answer = tl::expected<store::http_answer, store::http_error>;
+
+    /// Sends a call; answers to calls before the latest are ignored.
+    void call(const std::string& target, std::chrono::milliseconds wait, void (implementation::*handle)(const answer&))
+    {
+        const std::uint64_t generation = ++m_generation;
+        const store::http_timeouts timeouts { wait + m_options.answerTimeout, m_options.connectTimeout };
+        m_calledAt = monotonicNow();
+        store::exchangeHttp(
+            m_context, m_options.address, { boost::beast::http::verb::get, target, {} }, timeouts,
+            [self = shared_from_this()] { ++self->m_calls; },
+            [self = shared_from_this(), generation, handle](const answer& result) {
+                if (generation == self->m_generation)
+                    (*self.*handle)(result);
+            });
+    }
+
+    void readPage(const std::string& afterKey)
+    {
+        m_isWatching = false;
+        call(platform::rangeTarget(m_options.prefix, afterKey), {}, &implementation::handlePage);
+    }
+
+    void handlePage(const answer& result)
+    {
+        if (!result)
+            return failed(rangeCall, textOf(result.error()));
+        tl::expected<platform::item_page, platform::call_error> page
+            = platform::decodeRange(result->status, result->body);
+        if (!page)
+            return failed(rangeCall, textOf(page.error()));
+        answered(rangeCall);
+        // Pages are no snapshot: what the first one has seen is known for certain.
+        if (!m_listingRevision)
+            m_listingRevision = page->revision;
+        std::move(page->items.begin(), page->items.end(), std::back_inserter(m_listing));
+        if (page->hasMore)
+            return readPage(page->lastKey);
+        if (*m_listingRevision < m_view.revision())
+            m_events.onListingIgnored(*m_listingRevision);
+        publish(m_view.applyListing(std::move(m_listing), *m_listingRevision, monotonicNow()));
+        m_listing.clear();
+        watch();
+    }
+
+    void watch()
+    {
+        m_isWatching = true;
+        const std::chrono::milliseconds wait = m_needsProbe ? m_options.probeWait : m_options.watchWait;
+        call(platform::watchTarget(m_options.prefix, m_view.revision(), wait), wait, &implementation::handleWatch);
+    }
+
+    void handleWatch(const answer& result)
+    {
+        m_isWatching = false;
+        if (!result)
+            return failed(watchCall, textOf(result.error()));
+        tl::expected<platform::watch_answer, platform::call_error> changes
+            = platform::decodeWatch(result->status, result->body);
+        if (!changes && changes.error() == platform::call_error::HistoryDropped) {
+            answered(watchCall);
+            m_events.onHistoryDropped();
+            return readAll();
+        }
+        if (!changes)
+            return failed(watchCall, textOf(changes.error()));
+        answered(watchCall);
+        m_needsProbe = false;
+        std::vector<steering::view_update> updates;
+        for (steering::store_change& change : changes->changes) {
+            if (std::optional<steering::view_update> update = m_view.apply(std::move(change), m_answeredAt))
+                updates.push_back(std::move(*update));
+        }
+        m_view.advanceTo(changes->revision);
+        publish(updates);
+        const core::duration early = m_options.leastInterval - (m_answeredAt - m_calledAt);
+        if (early <= core::duration::zero())
+            return watch();
+        later(early, [this] { watch(); });
+    }
+
+    void publish(const std::vector<steering::view_update>& updates) { m_events.onUpdates(updates); }
+
+    void answered(const char* call)
+    {
+        m_answeredAt = monotonicNow();
+        m_backoff = {};
+        if (m_failedCalls > 0)
+            m_events.onAnswered(call, m_answeredAt - m_failedSince, std::exchange(m_failedCalls, 0));
+    }
+
+    void failed(const char* call, const char* cause)
+    {
+        const core::timestamp now = monotonicNow();
+        if (m_failedCalls++ == 0)
+            m_failedSince = now;
+        m_needsProbe = true;
+        m_view.recordTrouble(now);
+        m_events.onFailed(call, cause, m_failedCalls == 1);
+        m_backoff = std::clamp(2 * m_backoff, m_options.shortestBackoff, m_options.longestBackoff);
+        // Between half and the whole, so that hosts do not come back together.
+        const std::uint32_t half = static_cast<std::uint32_t>(m_backoff.count() / 2);
+        later(std::chrono::milliseconds { half + m_random(half + 1) }, [this] {
+            if (m_view.revision() == 0 || !m_view.isComplete())
+                readAll();
+            else
+                watch();
+        });
+    }
+
+    template <typename Work> void later(core::duration delay, Work work)
+    {
+        m_timer.expires_after(delay);
+        m_timer.async_wait([self = shared_from_this(), work](const boost::system::error_code& error) {
+            if (!error)
+                work();
+        });
+    }
+
+    boost::asio::io_context& m_context;
+    boost::asio::steady_timer m_timer;
+    store_follower_options m_options;
+    steering::store_view& m_view;
+    store_follower_events m_events;
+    pcg32 m_random;
+    std::vector<steering::store_change> m_listing;
+    std::optional<std::uint64_t> m_listingRevision;
+    std::uint64_t m_generation {};
+    std::uint64_t m_calls {};
+    std::uint64_t m_failedCalls {};
+    core::timestamp m_failedSince;
+    core::timestamp m_answeredAt;
+    core::timestamp m_calledAt;
+    std::chrono::milliseconds m_backoff {};
+    bool m_needsProbe {};
+    bool m_isWatching {};
+};
+
+store_follower::store_follower(boost::asio::io_context& context, const store_follower_options& options,
+    steering::store_view& view, store_follower_events events)
+    : m_implementation(std::make_shared<implementation>(context, options, view, std::move(events)))
+{
+}
+
+store_follower::~store_follower() { m_implementation->stop(); }
+
+void store_follower::start() { m_implementation->readAll(); }
+
+void store_follower::restart() { m_implementation->restart(); }
+
+std::uint64_t store_follower::callCount() const { return m_implementation->callCount(); }
+
+core::timestamp store_follower::answeredAt() const { return m_implementation->answeredAt(); }
+
+} // namespace shallotcove::daemon
--- a/src/daemon/store_health.cpp
+++ b/src/daemon/store_health.cpp
@@ -4,18 +4,18 @@
 
 namespace shallotcove::daemon {
 
-std::string nameOf(platform::store_error error)
+std::string nameOf(store::store_error error)
 {
     switch (error) {
-    case platform::store_error::Unavailable:
+    case store::store_error::Unavailable:
         return "Unavailable";
-    case platform::store_error::AnswerLost:
+    case store::store_error::AnswerLost:
         return "AnswerLost";
-    case platform::store_error::ProtocolError:
+    case store::store_error::ProtocolError:
         return "ProtocolError";
-    case platform::store_error::Compacted:
+    case store::store_error::Compacted:
         return "Compacted";
-    case platform::store_error::LeaseNotFound:
+    case store::store_error::LeaseNotFound:
         return "LeaseNotFound";
     }
     return "Other";
@@ -36,10 +36,10 @@
         call, std::chrono::duration_cast<std::chrono::milliseconds>(outage).count());
 }
 
-void store_health::failed(const char* call, platform::store_error error)
+void store_health::failed(const char* call, store::store_error error)
 {
     const bool isAnswered
-        = error == platform::store_error::Compacted || error == platform::store_error::LeaseNotFound;
+        = error == store::store_error::Compacted || error == store::store_error::LeaseNotFound;
     if (isAnswered)
         return succeeded(call);
     if (!m_isAvailable.exchange(false))
--- a/src/daemon/store_health.hpp
+++ b/src/daemon/store_health.hpp
@@ -5,7 +5,7 @@
 
 #include <shallotcove/core/time.hpp>
 #include <shallotcove/daemon/event_log.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 namespace shallotcove::daemon {
 
@@ -16,7 +16,7 @@
     store_health(event_log&, std::atomic<bool>& isAvailable);
 
     void succeeded(const char* call);
-    void failed(const char* call, platform::store_error);
+    void failed(const char* call, store::store_error);
 
 private:
     event_log& m_log;
@@ -24,6 +24,6 @@
     core::timestamp m_outageStart;
 };
 
-std::string nameOf(platform::store_error);
+std::string nameOf(store::store_error);
 
 } // namespace shallotcove::daemon
--- a/src/daemon/store_watcher.cpp
+++ b/src/daemon/store_watcher.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-store_watcher::store_watcher(boost::asio::io_context& context, platform::key_value_client& client,
+store_watcher::store_watcher(boost::asio::io_context& context, store::key_value_client& client,
     report_outbox& outbox, store_health& health, event_log& log, std::chrono::milliseconds retryInterval)
     : m_retry(context)
     , m_client(client)
@@ -47,13 +47,13 @@
 {
     const std::uint64_t generation = m_generation;
     m_client.readRange(
-        allKeys, [this, generation](tl::expected<platform::store_range, platform::store_error> answer) {
+        allKeys, [this, generation](tl::expected<store::store_range, store::store_error> answer) {
             if (generation == m_generation)
                 handleRead(answer);
         });
 }
 
-void store_watcher::handleRead(const tl::expected<platform::store_range, platform::store_error>& answer)
+void store_watcher::handleRead(const tl::expected<store::store_range, store::store_error>& answer)
 {
     if (!answer) {
         m_health.failed("readRange", answer.error());
@@ -75,13 +75,13 @@
     m_log.write<event::WatchStarted>(from.value);
     const std::uint64_t generation = m_generation;
     m_client.watch(
-        allKeys, from, [this, generation](tl::expected<platform::store_range, platform::store_error> answer) {
+        allKeys, from, [this, generation](tl::expected<store::store_range, store::store_error> answer) {
             if (generation == m_generation)
                 handleWatch(answer);
         });
 }
 
-void store_watcher::handleWatch(const tl::expected<platform::store_range, platform::store_error>& answer)
+void store_watcher::handleWatch(const tl::expected<store::store_range, store::store_error>& answer)
 {
     if (answer) {
         m_health.succeeded("watch");
@@ -89,7 +89,7 @@
         return;
     }
     m_health.failed("watch", answer.error());
-    if (answer.error() != platform::store_error::Compacted)
+    if (answer.error() != store::store_error::Compacted)
         return;
     m_log.write<event::WatchStopped>(nameOf(answer.error()));
     ++m_generation;
--- /dev/null
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -0,0 +1,322 @@
+#include "tagged_packet_worker.hpp"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <poll.h>
+#include <utility>
+
+#include <platform/packet_layout.hpp>
+
+#include <shallotcove/daemon/clock.hpp>
+#include <shallotcove/steering/steering_engine.hpp>
+#include <shallotcove/wire/neighbour_codec.hpp>
+
+#include "packet_batch.hpp"
+#include "wake_signal.hpp"
+
+namespace shallotcove::daemon {
+
+namespace {
+
+    constexpr std::size_t knowledgePerRound = 256;
+
+    template <typename Enumerator, std::size_t size>
+    void count(std::array<relaxed_counter, size>& counters, Enumerator which)
+    {
+        counters[std::min(static_cast<std::size_t>(which), size - 1)].add();
+    }
+
+    packet_batch_options callerBatch()
+    {
+        // One byte more than the largest packet, so that longer ones are seen.
+        return { platform::serverPrefixBytes, platform::packetHeaderBytes + platform::maximumPayloadBytes + 1 };
+    }
+
+} // namespace
+
+class tagged_packet_worker::implementation {
+public:
+    implementation(udp_socket callers, udp_socket neighbours, const wake_signal& wake, tagged_channels& channels,
+        const tagged_packet_options& options)
+        : m_callers(std::move(callers))
+        , m_neighbours(std::move(neighbours))
+        , m_wake(wake)
+        , m_channels(channels)
+        , m_options(options)
+        , m_engine(options.steering)
+        , m_hosts(options.hosts)
+        , m_batch(callerBatch())
+        , m_nextExchange(monotonicNow())
+    {
+    }
+
+    void runOnce()
+    {
+        wait();
+        takeKnowledge();
+        receiveNeighbours();
+        receiveCallers();
+        const core::timestamp now = monotonicNow();
+        repeatOffers(now);
+        if (now >= m_nextExchange)
+            exchange(now);
+        passNotes();
+    }
+
+private:
+    void wait()
+    {
+        const core::timestamp now = monotonicNow();
+        const core::timestamp next = std::min(m_nextExchange, m_engine.nextDeadline(now));
+        const core::duration left = std::max(next - now, core::duration::zero());
+        const std::chrono::seconds seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
+        const timespec timeout { seconds.count(), (left - seconds).count() };
+        std::array<pollfd, 3> entries { pollfd { m_callers.descriptor(), POLLIN, 0 },
+            pollfd { m_neighbours.descriptor(), POLLIN, 0 }, pollfd { m_wake.descriptor(), POLLIN, 0 } };
+        const int ready = ::ppoll(entries.data(), entries.size(), &timeout, nullptr);
+        m_hasCallers = ready > 0 && (entries[0].revents & POLLIN) != 0;
+        m_hasNeighbours = ready > 0 && (entries[1].revents & POLLIN) != 0;
+        if (ready > 0 && (entries[2].revents & POLLIN) != 0)
+            m_wake.clear();
+    }
+
+    void takeKnowledge()
+    {
+        for (std::size_t index = 0; index < knowledgePerRound; ++index) {
+            const std::optional<knowledge_update> update = m_channels.knowledge.pop();
+            if (!update)
+                return;
+            const core::timestamp now = monotonicNow();
+            if (const view_state* const state = std::get_if<view_state>(&*update)) {
+                m_view = *state;
+                m_engine.setInformed(state->isComplete);
+                updateReadiness(now);
+            } else {
+                apply(std::get<steering::view_update>(*update), now);
+            }
+        }
+    }
+
+    void apply(const steering::view_update& update, core::timestamp now)
+    {
+        const steering::item_content& content = update.change.content;
+        const std::string& name = update.change.key.name;
+        switch (update.change.key.kind) {
+        case steering::item_kind::Config:
+            if (const auto* const config = std::get_if<steering::routing_config>(&content))
+                m_engine.applyConfig(std::make_shared<const steering::routing_config>(*config));
+            return;
+        case steering::item_kind::DataCentreOut:
+            m_engine.setDataCentreOut(name, std::holds_alternative<steering::data_centre_out>(content), now);
+            return;
+        case steering::item_kind::Server:
+            if (const auto* const entry = std::get_if<steering::server_entry>(&content))
+                m_engine.applyServer(*entry, now);
+            else
+                m_engine.removeServer(name, update.isDoubtful, now);
+            return;
+        }
+    }
+
+    void receiveCallers()
+    {
+        if (!m_hasCallers)
+            return;
+        const std::size_t received = m_batch.receive(m_callers);
+        const core::timestamp now = monotonicNow();
+        for (std::size_t index = 0; index < received; ++index) {
+            m_channels.counters.fromCallers.add();
+            const std::span<std::byte> bytes = m_batch.datagram(index);
+            const tl::expected<steering::caller_packet, platform::packet_error> packet
+                = platform::decodePacket(bytes);
+            if (!packet)
+                count(m_channels.counters.malformed, packet.error());
+            else
+                carryOut(index, bytes, *packet, m_engine.handlePacket(*packet, now));
+        }
+        m_batch.send(m_callers, m_channels.counters.sendFailed);
+        if (received > 0)
+            m_channels.lastCallerPacket.store(now.sinceStart.count(), std::memory_order_relaxed);
+    }
+
+    void carryOut(std::size_t index, std::span<std::byte> bytes, const steering::caller_packet& packet,
+        const steering::packet_decision& decision)
+    {
+        switch (decision.action) {
+        case steering::packet_action::Forward: {
+            // The batch keeps room for the prefix in front of each datagram.
+            const std::span<std::byte> datagram { bytes.data() - platform::serverPrefixBytes,
+                bytes.size() + platform::serverPrefixBytes };
+            platform::writeServerPrefix(decision.wireId, datagram.first<platform::serverPrefixBytes>());
+            if (packet.isOpening)
+                platform::writeTag(decision.tag, bytes);
+            m_batch.queue(datagram, decision.server);
+            return m_channels.counters.forwarded.add();
+        }
+        case steering::packet_action::Refuse: {
+            const std::span<std::byte> buffer = m_batch.refusalBuffer(index);
+            platform::writeRefusal(packet, buffer.first<platform::packetHeaderBytes>());
+            m_batch.queue(buffer.first(platform::packetHeaderBytes), callerAddress(packet));
+            return count(m_channels.counters.refused, decision.reason);
+        }
+        case steering::packet_action::Drop:
+            return count(m_channels.counters.dropped, decision.reason);
+        }
+    }
+
+    /// Callers receive on the port that hosts receive on.
+    core::socket_address callerAddress(const steering::caller_packet& packet) const
+    {
+        return { core::ip_address::fromV4(packet.flow.callerAddress), m_callers.address().port };
+    }
+
+    void repeatOffers(core::timestamp now)
+    {
+        const std::vector<steering::repeated_offer> offers = m_engine.advance(now);
+        for (std::size_t index = 0; index < offers.size(); ++index) {
+            const std::size_t slot = index % packet_batch::capacity;
+            if (index > 0 && slot == 0)
+                m_batch.send(m_callers, m_channels.counters.sendFailed);
+            const steering::repeated_offer& offer = offers[index];
+            if (offer.decision.action == steering::packet_action::Drop) {
+                count(m_channels.counters.dropped, offer.decision.reason);
+                continue;
+            }
+            const std::span<std::byte> buffer = m_batch.refusalBuffer(slot);
+            const std::span<std::byte> packet
+                = buffer.subspan(platform::serverPrefixBytes, platform::packetHeaderBytes);
+            platform::writeOpening(offer.opening, packet.first<platform::packetHeaderBytes>());
+            if (offer.decision.action == steering::packet_action::Refuse) {
+                platform::writeRefusal(offer.opening, packet.first<platform::packetHeaderBytes>());
+                m_batch.queue(packet, callerAddress(offer.opening));
+                count(m_channels.counters.refused, offer.decision.reason);
+                continue;
+            }
+            platform::writeServerPrefix(offer.decision.wireId, buffer.first<platform::serverPrefixBytes>());
+            platform::writeTag(offer.decision.tag, packet);
+            m_batch.queue(
+                buffer.first(platform::serverPrefixBytes + platform::packetHeaderBytes), offer.decision.server);
+            m_channels.counters.forwarded.add();
+        }
+        m_batch.send(m_callers, m_channels.counters.sendFailed);
+    }
+
+    void receiveNeighbours()
+    {
+        if (!m_hasNeighbours)
+            return;
+        std::array<std::byte, wire::maximumNeighbourBytes + 1> buffer;
+        for (std::size_t index = 0; index < packet_batch::capacity; ++index) {
+            sockaddr_storage source {};
+            socklen_t length = sizeof source;
+            const ssize_t size = ::recvfrom(m_neighbours.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT,
+                reinterpret_cast<sockaddr*>(&source), &length);
+            if (size < 0)
+                return;
+            m_channels.counters.fromNeighbours.add();
+            const std::optional<steering::neighbour_message> message = wire::decodeNeighbourMessage(
+                std::span<const std::byte>(buffer.data(), static_cast<std::size_t>(size)));
+            const core::socket_address from = fromNative(source);
+            if (message && from.address.isV4() && from.port == m_neighbours.address().port)
+                handle(from.address.toV4(), *message);
+            else
+                m_channels.counters.malformedNeighbours.add();
+        }
+    }
+
+    void handle(std::uint32_t from, const steering::neighbour_message& message)
+    {
+        const core::timestamp now = monotonicNow();
+        if (message.dataCentre == m_options.steering.dataCentre)
+            m_engine.applyNeighbourLoads(from, message.loads, now);
+        if (const std::optional<steering::outgoing_message> answer
+            = m_hosts.handle(from, message, m_view.revision, now))
+            send(*answer);
+        m_channels.neighbourRevision.store(m_hosts.highestRevision(), std::memory_order_relaxed);
+    }
+
+    void send(const steering::outgoing_message& outgoing)
+    {
+        const std::vector<std::byte> bytes = wire::encodeNeighbourMessage(outgoing.message);
+        const native_address to
+            = toNative({ core::ip_address::fromV4(outgoing.to), m_neighbours.address().port });
+        const ssize_t sent = ::sendto(m_neighbours.descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+            reinterpret_cast<const sockaddr*>(&to.storage), to.length);
+        (sent < 0 ? m_channels.counters.sendFailed : m_channels.counters.sentToNeighbours).add();
+    }
+
+    void exchange(core::timestamp now)
+    {
+        m_nextExchange = now + m_options.exchangeInterval;
+        updateReadiness(now);
+        const bool isUrgent = m_readiness.state() == steering::readiness_state::Isolated;
+        for (const steering::outgoing_message& outgoing :
+            m_hosts.advance(m_engine.loads(), m_view.revision, isUrgent, now))
+            send(outgoing);
+        if (m_hosts.takeChanged()) {
+            const std::vector<std::uint32_t> hosts = m_hosts.addresses();
+            m_engine.setHosts(hosts, m_options.hosts.self.address);
+            m_channels.counters.hosts.store(hosts.size(), std::memory_order_relaxed);
+        }
+        m_channels.counters.flows.store(m_engine.flowCount(), std::memory_order_relaxed);
+    }
+
+    void updateReadiness(core::timestamp now)
+    {
+        const steering::readiness_state before = m_readiness.state();
+        const double share = m_engine.unreachableShare(now);
+        steering::readiness_inputs inputs { m_view.isComplete,
+            m_channels.isStopping.load(std::memory_order_relaxed), share, false, false };
+        std::vector<std::string> answered;
+        if (before == steering::readiness_state::Isolated) {
+            for (const std::string& place : m_engine.servingDataCentres()) {
+                if (place == m_options.steering.dataCentre || !m_hosts.knowsHostsIn(place))
+                    continue;
+                inputs.canAskOthers = true;
+                if (m_hosts.wasHeard(place, m_readiness.since()))
+                    answered.push_back(place);
+            }
+            inputs.othersAnswered = !answered.empty();
+        }
+        if (!m_readiness.update(inputs, now))
+            return;
+        for (const std::string& place : answered)
+            m_engine.trustDataCentre(place);
+        m_channels.readiness.store(m_readiness.state(), std::memory_order_release);
+        m_channels.notes.push(readiness_change { before, m_readiness.state(), static_cast<int>(100 * share) });
+    }
+
+    void passNotes()
+    {
+        for (steering::steering_note& note : m_engine.takeNotes())
+            m_channels.notes.push(std::move(note));
+    }
+
+    udp_socket m_callers;
+    udp_socket m_neighbours;
+    const wake_signal& m_wake;
+    tagged_channels& m_channels;
+    tagged_packet_options m_options;
+    steering::steering_engine m_engine;
+    steering::host_directory m_hosts;
+    steering::readiness m_readiness;
+    view_state m_view;
+    packet_batch m_batch;
+    core::timestamp m_nextExchange;
+    bool m_hasCallers {};
+    bool m_hasNeighbours {};
+};
+
+tagged_packet_worker::tagged_packet_worker(udp_socket callers, udp_socket neighbours, const wake_signal& wake,
+    tagged_channels& channels, const tagged_packet_options& options)
+    : m_implementation(std::make_unique<implementation>(
+        std::move(callers), std::move(neighbours), wake, channels, options))
+{
+}
+
+tagged_packet_worker::~tagged_packet_worker() = default;
+
+void tagged_packet_worker::runOnce() { m_implementation->runOnce(); }
+
+} // namespace shallotcove::daemon
--- /dev/null
+++ b/src/steering/host_directory.cpp
@@ -0,0 +1,157 @@
+#include <shallotcove/steering/host_directory.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace shallotcove::steering {
+
+namespace {
+
+    // Fits one datagram; fleets that are larger are found through several answers.
+    constexpr std::size_t maximumHostsPerMessage = 64;
+    // Well above any fleet; bounds what forged messages can take.
+    constexpr std::size_t maximumContacts = 4096;
+
+} // namespace
+
+host_directory::host_directory(host_directory_options options)
+    : m_options(std::move(options))
+{
+}
+
+std::optional<outgoing_message> host_directory::handle(
+    std::uint32_t from, const neighbour_message& message, std::uint64_t storeRevision, core::timestamp now)
+{
+    if (from == m_options.self.address)
+        return std::nullopt;
+    learn({ from, message.dataCentre }, now);
+    const auto known = m_contacts.find(from);
+    if (known == m_contacts.end())
+        return std::nullopt;
+    contact& sender = known->second;
+    sender.heardAt = now;
+    sender.dataCentre = message.dataCentre;
+    m_highestRevision = std::max(m_highestRevision, message.storeRevision);
+    for (const known_host& host : message.hosts)
+        learn(host, now);
+    if (!message.wantsHosts)
+        return std::nullopt;
+    outgoing_message answer { from, greeting(storeRevision) };
+    for (const auto& [address, other] : m_contacts) {
+        const bool isAlive = other.heardAt && now - *other.heardAt < m_options.silence;
+        if (address != from && isAlive && answer.message.hosts.size() < maximumHostsPerMessage)
+            answer.message.hosts.push_back({ address, other.dataCentre });
+    }
+    return answer;
+}
+
+std::vector<outgoing_message> host_directory::advance(
+    const load_report& loads, std::uint64_t storeRevision, bool isUrgent, core::timestamp now)
+{
+    std::vector<outgoing_message> messages;
+    const std::size_t before = m_contacts.size();
+    std::erase_if(m_contacts, [&](const auto& known) {
+        return now - known.second.heardAt.value_or(known.second.knownSince) >= m_options.memory;
+    });
+    m_isChanged = m_isChanged || m_contacts.size() != before;
+    const bool hasNewLoads = loads != m_lastLoads;
+    bool areLoadsSent = false;
+    for (auto& [address, known] : m_contacts) {
+        if (now - known.heardAt.value_or(known.knownSince) >= m_options.silence)
+            continue;
+        if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads))
+            continue;
+        outgoing_message next { address, greeting(storeRevision) };
+        // A host that was only heard of does not know this one yet.
+        next.message.wantsHosts = !known.heardAt.has_value();
+        if (known.dataCentre == m_options.self.dataCentre) {
+            next.message.loads = loads;
+            areLoadsSent = true;
+        }
+        known.sentAt = now;
+        messages.push_back(std::move(next));
+    }
+    if (areLoadsSent)
+        m_lastLoads = loads;
+    for (const std::uint32_t seed : m_options.seeds) {
+        const auto known = m_contacts.find(seed);
+        const bool isHeard = known != m_contacts.end() && known->second.heardAt
+            && now - *known->second.heardAt < m_options.silence;
+        const auto asked = m_seedsAskedAt.find(seed);
+        const bool isTooEarly
+            = asked != m_seedsAskedAt.end() && now - asked->second < m_options.seedInterval;
+        if (seed == m_options.self.address || isHeard || isTooEarly)
+            continue;
+        m_seedsAskedAt[seed] = now;
+        outgoing_message question { seed, greeting(storeRevision) };
+        question.message.wantsHosts = true;
+        messages.push_back(std::move(question));
+    }
+    return messages;
+}
+
+bool host_directory::takeChanged() { return std::exchange(m_isChanged, false); }
+
+std::vector<std::uint32_t> host_directory::addresses() const
+{
+    std::vector<std::uint32_t> result { m_options.self.address };
+    for (const auto& [address, known] : m_contacts)
+        result.push_back(address);
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+bool host_directory::wasHeard(const std::string& dataCentre, core::timestamp since) const
+{
+    return std::any_of(m_contacts.begin(), m_contacts.end(), [&](const auto& known) {
+        return known.second.dataCentre == dataCentre && known.second.heardAt && *known.second.heardAt >= since;
+    });
+}
+
+bool host_directory::knowsHostsIn(const std::string& dataCentre) const
+{
+    return std::any_of(m_contacts.begin(), m_contacts.end(),
+        [&](const auto& known) { return known.second.dataCentre == dataCentre && known.second.heardAt; });
+}
+
+neighbour_message host_directory::greeting(std::uint64_t storeRevision) const
+{
+    neighbour_message message;
+    message.dataCentre = m_options.self.dataCentre;
+    message.storeRevision = storeRevision;
+    return message;
+}
+
+core::duration host_directory::intervalOf(const contact& known, bool isUrgent, bool hasNewLoads) const
+{
+    if (!known.heardAt)
+        return m_options.seedInterval;
+    if (known.dataCentre != m_options.self.dataCentre)
+        return isUrgent ? m_options.urgentFarInterval : m_options.farInterval;
+    if (!hasNewLoads)
+        return m_options.idleInterval;
+    const double spread = static_cast<double>(neighbourCount()) / m_options.messagesPerSecond;
+    return std::max(m_options.loadInterval,
+        std::chrono::duration_cast<core::duration>(std::chrono::duration<double> { spread }));
+}
+
+std::size_t host_directory::neighbourCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_contacts.begin(), m_contacts.end(),
+        [this](const auto& known) { return known.second.dataCentre == m_options.self.dataCentre; }));
+}
+
+void host_directory::learn(const known_host& host, core::timestamp now)
+{
+    if (host.address == m_options.self.address
+        || (m_contacts.size() >= maximumContacts && !m_contacts.contains(host.address)))
+        return;
+    const auto [found, isNew] = m_contacts.try_emplace(host.address);
+    if (!isNew)
+        return;
+    found->second.dataCentre = host.dataCentre;
+    found->second.knownSince = now;
+    m_isChanged = true;
+}
+
+} // namespace shallotcove::steering
--- /dev/null
+++ b/src/steering/store_view.cpp
@@ -0,0 +1,88 @@
+#include <shallotcove/steering/store_view.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace shallotcove::steering {
+
+std::string item_key::toString() const
+{
+    switch (kind) {
+    case item_kind::Config:
+        return "configuration";
+    case item_kind::DataCentreOut:
+        return "dataCentre " + name;
+    case item_kind::Server:
+        return "server " + name;
+    }
+    return name;
+}
+
+store_view::store_view(const store_view_options& options)
+    : m_troubleWindow(options.troubleWindow)
+{
+}
+
+std::optional<view_update> store_view::apply(store_change change, core::timestamp now)
+{
+    m_revision = std::max(m_revision, change.revision);
+    const auto [found, isNew] = m_items.try_emplace(change.key);
+    known_item& known = found->second;
+    if (!isNew && change.revision <= known.revision)
+        return std::nullopt;
+    const known_item former = std::exchange(known, { change.revision, known.content });
+    if (!isNew && former.content == change.content)
+        return std::nullopt;
+    // A configuration that is removed, unreadable or older than the one in force changes nothing.
+    if (change.key.kind == item_kind::Config) {
+        const routing_config* const config = std::get_if<routing_config>(&change.content);
+        if (config == nullptr)
+            return std::holds_alternative<unreadable_item>(change.content)
+                ? std::optional(view_update { std::move(change), false })
+                : std::nullopt;
+        if (config->version < m_configVersion)
+            return std::nullopt;
+        m_configVersion = config->version;
+    }
+    view_update update { change, isDoubtful(former, now) };
+    known.content = std::move(change.content);
+    if (isNew && std::holds_alternative<removed_item>(known.content))
+        return std::nullopt;
+    return update;
+}
+
+std::vector<view_update> store_view::applyListing(
+    std::vector<store_change> listing, std::uint64_t revision, core::timestamp now)
+{
+    std::vector<view_update> updates;
+    if (revision < m_revision)
+        return updates;
+    std::set<item_key> listed;
+    for (store_change& change : listing) {
+        listed.insert(change.key);
+        if (std::optional<view_update> update = apply(std::move(change), now))
+            updates.push_back(std::move(*update));
+    }
+    std::vector<store_change> missing;
+    for (const auto& [key, known] : m_items) {
+        if (!listed.contains(key) && known.revision <= revision
+            && !std::holds_alternative<removed_item>(known.content))
+            missing.push_back({ key, std::max(revision, known.revision + 1), removed_item {} });
+    }
+    for (store_change& change : missing) {
+        if (std::optional<view_update> update = apply(std::move(change), now))
+            updates.push_back(std::move(*update));
+    }
+    m_revision = std::max(m_revision, revision);
+    m_hasListing = true;
+    return updates;
+}
+
+bool store_view::isDoubtful(const known_item& former, core::timestamp now) const
+{
+    return std::holds_alternative<server_entry>(former.content) && m_troubleAt
+        && now - *m_troubleAt <= m_troubleWindow;
+}
+
+} // namespace shallotcove::steering
--- a/src/platform/host_list_client.cpp
+++ b/src/store/host_list_client.cpp
@@ -1,15 +1,15 @@
 #include <utility>
 
-#include <shallotcove/platform/host_list_client.hpp>
+#include <shallotcove/store/host_list_client.hpp>
 
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
 
-#include "http_exchange.hpp"
-#include "json_text.hpp"
+#include <shallotcove/store/http_exchange.hpp>
+#include <shallotcove/store/json_text.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 namespace {
 
@@ -62,7 +62,7 @@
     {
         exchangeHttp(
             m_context, m_options.address, { boost::beast::http::verb::get, "/hosts", {} },
-            m_options.requestTimeout, [] {},
+            http_timeouts { m_options.requestTimeout, m_options.requestTimeout }, [] {},
             [self = shared_from_this(), deliver = std::move(deliver)](
                 const tl::expected<http_answer, http_error>& answer) {
                 if (!self->m_isStopped)
@@ -94,4 +94,4 @@
 
 void host_list_client::read(handler deliver) { m_implementation->read(std::move(deliver)); }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -1,5 +1,6 @@
-#include "http_exchange.hpp"
+#include <shallotcove/store/http_exchange.hpp>
 
+#include <algorithm>
 #include <memory>
 
 #include <boost/asio/ip/address.hpp>
@@ -7,8 +8,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -16,6 +20,15 @@
 
 namespace {
 
+    // Long enough for two lost probes.
+    constexpr std::chrono::seconds peerTimeout { 3 };
+
+    void setTcpOption(asio::ip::tcp::socket& socket, int option, int value)
+    {
+        // Without the option a silent peer is noticed later, so a failure only delays the next try.
+        static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value));
+    }
+
     /// Whether the answer broke off, as against one that breaks the protocol.
     bool isConnectionError(const beast::error_code& error)
     {
@@ -37,13 +50,14 @@
             m_parser.body_limit(maximumAnswerBytes);
         }
 
-        void start(const core::socket_address& server, std::chrono::milliseconds timeout)
+        void start(const core::socket_address& server, const http_timeouts& timeouts)
         {
             m_request.set(http::field::host, server.toString());
             m_request.set(http::field::content_type, "application/json");
             m_request.keep_alive(false);
             m_request.prepare_payload();
-            m_stream.expires_after(timeout);
+            m_timeouts = timeouts;
+            m_stream.expires_after(std::min(timeouts.connect, timeouts.total));
             m_stream.async_connect(
                 toEndpoint(server), [self = shared_from_this()](const beast::error_code& error) {
                     if (error)
@@ -56,6 +70,8 @@
     private:
         void send()
         {
+            setPeerTimeout(m_stream.socket(), peerTimeout);
+            m_stream.expires_after(m_timeouts.total);
             m_onSent();
             http::async_write(m_stream, m_request,
                 [self = shared_from_this()](const beast::error_code& error, std::size_t) {
@@ -88,6 +104,7 @@
         }
 
         beast::tcp_stream m_stream;
+        http_timeouts m_timeouts;
         beast::flat_buffer m_buffer;
         http::request<http::string_body> m_request;
         http::response_parser<http::string_body> m_parser;
@@ -104,11 +121,23 @@
     return { asio::ip::address_v6(address.address.bytes), address.port };
 }
 
+void setPeerTimeout(asio::ip::tcp::socket& socket, std::chrono::seconds timeout)
+{
+    // One probe at each third of the time.
+    const int interval = std::max(1, static_cast<int>(timeout.count()) / 3);
+    beast::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setTcpOption(socket, TCP_KEEPIDLE, interval);
+    setTcpOption(socket, TCP_KEEPINTVL, interval);
+    setTcpOption(socket, TCP_KEEPCNT, 2);
+    setTcpOption(socket, TCP_USER_TIMEOUT, static_cast<int>(std::chrono::milliseconds { timeout }.count()));
+}
+
 void exchangeHttp(asio::io_context& context, const core::socket_address& server, http_question question,
-    std::chrono::milliseconds timeout, std::function<void()> onSent, http_handler handler)
+    const http_timeouts& timeouts, std::function<void()> onSent, http_handler handler)
 {
     std::make_shared<exchange>(context, std::move(question), std::move(onSent), std::move(handler))
-        ->start(server, timeout);
+        ->start(server, timeouts);
 }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/json_text.cpp
+++ b/src/store/json_text.cpp
@@ -1,4 +1,4 @@
-#include "json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 #include <charconv>
 #include <memory>
@@ -7,7 +7,7 @@
 #include <json/writer.h>
 #include <sodium.h>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 std::optional<Json::Value> parseJson(std::string_view text)
 {
@@ -74,4 +74,4 @@
     return number;
 }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/key_value_client.cpp
+++ b/src/store/key_value_client.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 #include <algorithm>
 #include <random>
@@ -8,11 +8,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "http_exchange.hpp"
+#include <shallotcove/store/http_exchange.hpp>
 #include "store_codec.hpp"
 #include "watch_stream.hpp"
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 namespace {
 
@@ -48,7 +48,7 @@
     {
         exchangeHttp(
             m_context, m_options.address, { boost::beast::http::verb::post, target, std::move(body) },
-            m_options.requestTimeout, [self = shared_from_this()] { ++self->m_requests; },
+            http_timeouts { m_options.requestTimeout, m_options.requestTimeout }, [self = shared_from_this()] { ++self->m_requests; },
             [self = shared_from_this(), deliver = std::move(deliver), parse](
                 const tl::expected<http_answer, http_error>& answer) {
                 if (self->m_isStopped)
@@ -200,4 +200,4 @@
 
 std::uint64_t key_value_client::requestCount() const { return m_implementation->requestCount(); }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/store_codec.cpp
+++ b/src/store/store_codec.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 
-#include "http_exchange.hpp"
-#include "json_text.hpp"
+#include <shallotcove/store/http_exchange.hpp>
+#include <shallotcove/store/json_text.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 namespace {
 
@@ -248,4 +248,4 @@
     return parsedLine;
 }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/store_codec.hpp
+++ b/src/store/store_codec.hpp
@@ -8,9 +8,9 @@
 
 #include <tl/expected.hpp>
 
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 struct http_answer;
 
@@ -39,4 +39,4 @@
 
 tl::expected<watch_line, store_error> parseWatchLine(std::string_view line);
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/store_codec_test.cpp
+++ b/src/store/store_codec_test.cpp
@@ -4,19 +4,19 @@
 
 #include <criterion/criterion.h>
 
-#include "http_exchange.hpp"
+#include <shallotcove/store/http_exchange.hpp>
 
 namespace core = shallotcove::core;
-namespace platform = shallotcove::platform;
+namespace store = shallotcove::store;
 
-using enum platform::store_error;
+using enum store::store_error;
 
 namespace {
 
 struct bad_answer {
     unsigned status;
     const char* body;
-    platform::store_error error;
+    store::store_error error;
 };
 
 } // namespace
@@ -41,8 +41,8 @@
         { 500, "no JSON", ProtocolError },
     } };
     for (const bad_answer& answer : answers) {
-        const tl::expected<platform::store_range, platform::store_error> range
-            = platform::parseRange({ answer.status, answer.body });
+        const tl::expected<store::store_range, store::store_error> range
+            = store::parseRange({ answer.status, answer.body });
         cr_assert(!range && range.error() == answer.error, "%s", answer.body);
     }
 }
@@ -50,17 +50,17 @@
 // Guards against watches that take a progress notification or a catch-up batch for complete where it is not.
 Test(store_codec, tells_how_far_a_watch_line_reaches)
 {
-    const tl::expected<platform::watch_line, platform::store_error> created
-        = platform::parseWatchLine(R"({"result":{"header":{"revision":"9"},"created":true}})");
+    const tl::expected<store::watch_line, store::store_error> created
+        = store::parseWatchLine(R"({"result":{"header":{"revision":"9"},"created":true}})");
     cr_assert(created && created->isCreated);
-    const tl::expected<platform::watch_line, platform::store_error> progress
-        = platform::parseWatchLine(R"({"result":{"header":{"revision":"9"}}})");
+    const tl::expected<store::watch_line, store::store_error> progress
+        = store::parseWatchLine(R"({"result":{"header":{"revision":"9"}}})");
     cr_assert(progress && !progress->isCreated && progress->range.revision == core::config_index { 9 });
-    const tl::expected<platform::watch_line, platform::store_error> events
-        = platform::parseWatchLine(R"({"result":{"header":{"revision":"9"},"events":[)"
+    const tl::expected<store::watch_line, store::store_error> events
+        = store::parseWatchLine(R"({"result":{"header":{"revision":"9"},"events":[)"
                                    R"({"kv":{"key":"YQ==","value":"Yg==","mod_revision":"4"}},)"
                                    R"({"type":"DELETE","kv":{"key":"Yw==","mod_revision":"6"}}]}})");
-    const platform::store_range expected { { { "a", { 4 }, false, "b" }, { "c", { 6 }, true, "" } }, { 6 } };
+    const store::store_range expected { { { "a", { 4 }, false, "b" }, { "c", { 6 }, true, "" } }, { 6 } };
     cr_assert(events && events->range == expected);
     const std::array<bad_answer, 6> lines { {
         { 200, R"({"result":{"header":{"revision":"9"},"canceled":true,"compact_revision":"8"}})",
@@ -72,8 +72,8 @@
         { 200, "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", ProtocolError },
     } };
     for (const bad_answer& line : lines) {
-        const tl::expected<platform::watch_line, platform::store_error> parsed
-            = platform::parseWatchLine(line.body);
+        const tl::expected<store::watch_line, store::store_error> parsed
+            = store::parseWatchLine(line.body);
         cr_assert(!parsed && parsed.error() == line.error, "%s", line.body);
     }
 }
--- a/src/platform/watch_stream.cpp
+++ b/src/store/watch_stream.cpp
@@ -5,13 +5,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
-#include "http_exchange.hpp"
+#include <shallotcove/store/http_exchange.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -19,11 +16,7 @@
 
 namespace {
 
-    void setTcpOption(asio::ip::tcp::socket& socket, int option, int value)
-    {
-        // Without the option a silent peer is noticed later, so a failure only delays the reconnect.
-        static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value));
-    }
+    constexpr std::chrono::seconds peerTimeout { 12 };
 
 } // namespace
 
@@ -79,7 +72,7 @@
 
     void send()
     {
-        enableKeepAlive();
+        setPeerTimeout(m_stream.socket(), peerTimeout);
         m_handlers.onSent();
         http::async_write(
             m_stream, m_request, [self = shared_from_this()](const beast::error_code& error, std::size_t) {
@@ -88,16 +81,6 @@
             });
     }
 
-    /// Notices a silent peer after 5 + 3 * 2 s.
-    void enableKeepAlive()
-    {
-        beast::error_code ignored;
-        m_stream.socket().set_option(asio::socket_base::keep_alive(true), ignored);
-        setTcpOption(m_stream.socket(), TCP_KEEPIDLE, 5);
-        setTcpOption(m_stream.socket(), TCP_KEEPINTVL, 2);
-        setTcpOption(m_stream.socket(), TCP_KEEPCNT, 3);
-    }
-
     void receiveHead()
     {
         http::async_read_header(m_stream, m_buffer, m_parser,
@@ -178,4 +161,4 @@
     return std::unique_ptr<watch_stream>(new watch_stream(std::move(shared)));
 }
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/platform/watch_stream.hpp
+++ b/src/store/watch_stream.hpp
@@ -12,7 +12,7 @@
 
 #include <shallotcove/core/ip_address.hpp>
 
-namespace shallotcove::platform {
+namespace shallotcove::store {
 
 /// One connection that sends a request and hands over each line of the streamed answer until it ends.
 class watch_stream {
@@ -39,4 +39,4 @@
     std::shared_ptr<implementation> m_implementation;
 };
 
-} // namespace shallotcove::platform
+} // namespace shallotcove::store
--- a/src/testbench/backend_options.cpp
+++ b/src/testbench/backend_options.cpp
@@ -3,7 +3,7 @@
 #include <map>
 #include <optional>
 
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
@@ -58,7 +58,7 @@
 
 tl::expected<backend_standin_options, std::string> backend_standin_options::parse(const std::string& json)
 {
-    const std::optional<Json::Value> root = platform::parseJson(json);
+    const std::optional<Json::Value> root = store::parseJson(json);
     if (!root || !root->isObject())
         return tl::unexpected(std::string("the settings are not a JSON object"));
     try {
--- a/src/testbench/backend_standin.cpp
+++ b/src/testbench/backend_standin.cpp
@@ -12,7 +12,7 @@
 #include "endpoints.hpp"
 #include "gue_packet.hpp"
 #include "http_server.hpp"
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
@@ -124,7 +124,7 @@
     void serve(const std::string& target, http_connection& open)
     {
         if (target == "/stats")
-            open.answer(200, platform::formatJson(stats()));
+            open.answer(200, store::formatJson(stats()));
         else if (target == "/mark") {
             for (const hosted_server& hosted : m_servers)
                 hosted.server->mark();
--- a/src/testbench/caller_options.cpp
+++ b/src/testbench/caller_options.cpp
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
@@ -87,7 +87,7 @@
 
 tl::expected<caller_options, std::string> caller_options::parse(const std::string& json)
 {
-    const std::optional<Json::Value> root = platform::parseJson(json);
+    const std::optional<Json::Value> root = store::parseJson(json);
     if (!root || !root->isObject())
         return tl::unexpected(std::string("the settings are not a JSON object"));
     try {
--- a/src/testbench/caller_standin.cpp
+++ b/src/testbench/caller_standin.cpp
@@ -10,7 +10,7 @@
 #include "endpoints.hpp"
 #include "gue_packet.hpp"
 #include "http_server.hpp"
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
@@ -33,7 +33,7 @@
 
     std::optional<std::set<std::uint32_t>> parseServers(const std::string& json)
     {
-        const std::optional<Json::Value> list = platform::parseJson(json);
+        const std::optional<Json::Value> list = store::parseJson(json);
         if (!list || !list->isArray())
             return std::nullopt;
         std::set<std::uint32_t> servers;
@@ -183,7 +183,7 @@
     void serve(const http_request& request, http_connection& open)
     {
         if (request.target == "/report") {
-            open.answer(200, platform::formatJson(m_report.toJson()));
+            open.answer(200, store::formatJson(m_report.toJson()));
             return;
         }
         if (request.target == "/finish") {
--- a/src/testbench/caller_standin_main.cpp
+++ b/src/testbench/caller_standin_main.cpp
@@ -7,7 +7,7 @@
 
 #include <gflags/gflags.h>
 
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 #include "program.hpp"
 
 DEFINE_string(settings, "", "JSON file with groups and services");
@@ -43,6 +43,6 @@
     std::cout << (*callers)->report().toTable();
     if (!FLAGS_report_file.empty())
         std::ofstream(FLAGS_report_file)
-            << shallotcove::platform::formatJson((*callers)->report().toJson()) << '\n';
+            << shallotcove::store::formatJson((*callers)->report().toJson()) << '\n';
     return 0;
 }
--- a/src/testbench/fabric_standin.cpp
+++ b/src/testbench/fabric_standin.cpp
@@ -12,7 +12,7 @@
 #include "endpoints.hpp"
 #include "gue_packet.hpp"
 #include "http_server.hpp"
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
@@ -22,7 +22,7 @@
 
     std::optional<std::vector<core::socket_address>> parseAddresses(const std::string& text)
     {
-        const std::optional<Json::Value> list = platform::parseJson(text);
+        const std::optional<Json::Value> list = store::parseJson(text);
         if (!list || !list->isArray())
             return std::nullopt;
         std::vector<core::socket_address> addresses;
@@ -112,7 +112,7 @@
     void serve(const http_request& request, http_connection& open)
     {
         if (request.target == "/stats") {
-            open.answer(200, platform::formatJson(stats()));
+            open.answer(200, store::formatJson(stats()));
             return;
         }
         const std::optional<std::vector<core::socket_address>> hosts
--- a/src/testbench/store_api.cpp
+++ b/src/testbench/store_api.cpp
@@ -2,16 +2,16 @@
 
 #include <map>
 
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
 namespace {
 
-    using platform::decodeBase64;
-    using platform::encodeBase64;
-    using platform::formatJson;
-    using platform::readNumber;
+    using store::decodeBase64;
+    using store::encodeBase64;
+    using store::formatJson;
+    using store::readNumber;
 
     // Status codes of gRPC.
     constexpr int invalidArgument = 3;
@@ -206,7 +206,7 @@
     const auto found = calls.find(target);
     if (found == calls.end())
         return fail(unimplemented, "no call " + target);
-    const std::optional<Json::Value> request = platform::parseJson(body);
+    const std::optional<Json::Value> request = store::parseJson(body);
     if (!request || !request->isObject())
         return fail(invalidArgument, "the body is not a JSON object");
     model.expireLeases(now);
@@ -215,7 +215,7 @@
 
 std::optional<watch_request> parseWatchRequest(const std::string& body, const store_model& model)
 {
-    const std::optional<Json::Value> request = platform::parseJson(body);
+    const std::optional<Json::Value> request = store::parseJson(body);
     if (!request || !request->isObject())
         return std::nullopt;
     const Json::Value& create = (*request)["create_request"];
--- a/src/testbench/store_contract_test.cpp
+++ b/src/testbench/store_contract_test.cpp
@@ -5,18 +5,18 @@
 
 #include <criterion/criterion.h>
 
-#include <shallotcove/platform/host_list_client.hpp>
-#include <shallotcove/platform/key_value_client.hpp>
+#include <shallotcove/store/host_list_client.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 #include "event_loop.hpp"
 #include "host_list_standin.hpp"
 #include "store_standin.hpp"
 
 namespace core = shallotcove::core;
-namespace platform = shallotcove::platform;
+namespace store = shallotcove::store;
 namespace testbench = shallotcove::testbench;
 
-using platform::store_error;
+using store::store_error;
 using testbench::store_fault;
 
 namespace {
@@ -28,7 +28,7 @@
     boost::asio::io_context context;
     std::unique_ptr<testbench::store_standin> store
         = std::move(*testbench::store_standin::create(context, { anyPort, anyPort }));
-    std::unique_ptr<platform::key_value_client> client = platform::key_value_client::create(context,
+    std::unique_ptr<store::key_value_client> client = store::key_value_client::create(context,
         { store->address(), std::chrono::milliseconds { 300 }, std::chrono::milliseconds { 5 },
             std::chrono::milliseconds { 20 } });
 
@@ -41,17 +41,17 @@
         return *result;
     }
 
-    tl::expected<platform::swap_result, store_error> swap(const std::string& key, std::uint64_t expected,
+    tl::expected<store::swap_result, store_error> swap(const std::string& key, std::uint64_t expected,
         std::optional<std::string> value, std::int64_t lease = 0)
     {
-        return await<platform::swap_result>([&](auto handler) {
+        return await<store::swap_result>([&](auto handler) {
             client->compareAndSwap({ { key, { expected }, std::move(value) } }, lease, handler);
         });
     }
 
-    tl::expected<platform::store_range, store_error> read(const std::string& prefix)
+    tl::expected<store::store_range, store_error> read(const std::string& prefix)
     {
-        return await<platform::store_range>([&](auto handler) { client->readRange(prefix, handler); });
+        return await<store::store_range>([&](auto handler) { client->readRange(prefix, handler); });
     }
 };
 
@@ -63,7 +63,7 @@
 
     auto handler()
     {
-        return [this](const tl::expected<platform::store_range, store_error>& news) {
+        return [this](const tl::expected<store::store_range, store_error>& news) {
             if (!news) {
                 error = news.error();
                 return;
@@ -263,7 +263,7 @@
 // Guards against a list that is misread as hosts that left.
 Test(host_list_contract, reads_and_refuses)
 {
-    using platform::host_list_error;
+    using store::host_list_error;
     struct list_case {
         const char* json;
         std::optional<std::vector<core::listed_host>> hosts;
@@ -283,8 +283,8 @@
     boost::asio::io_context context;
     std::unique_ptr<testbench::host_list_standin> list
         = std::move(*testbench::host_list_standin::create(context, anyPort));
-    const std::unique_ptr<platform::host_list_client> client
-        = platform::host_list_client::create(context, { list->address(), std::chrono::milliseconds { 300 } });
+    const std::unique_ptr<store::host_list_client> client
+        = store::host_list_client::create(context, { list->address(), std::chrono::milliseconds { 300 } });
     const auto read = [&] {
         std::optional<tl::expected<std::vector<core::listed_host>, host_list_error>> result;
         client->read([&](const auto& answer) { result = answer; });
--- a/src/testbench/store_standin.cpp
+++ b/src/testbench/store_standin.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "http_server.hpp"
-#include "platform/json_text.hpp"
+#include <shallotcove/store/json_text.hpp>
 #include "store_api.hpp"
 
 namespace shallotcove::testbench {
@@ -219,16 +219,16 @@
     void serveControl(const http_request& request, const connection& open)
     {
         if (request.target == "/stats") {
-            open->answer(200, platform::formatJson(stats()));
+            open->answer(200, store::formatJson(stats()));
             return;
         }
-        const std::optional<Json::Value> body = platform::parseJson(request.body);
+        const std::optional<Json::Value> body = store::parseJson(request.body);
         const std::optional<std::string> problem = body && body->isObject()
             ? command(request.target, *body)
             : std::optional<std::string> { "the body is not a JSON object" };
         Json::Value result;
         result[problem ? "error" : "result"] = problem.value_or("done");
-        open->answer(problem ? 400 : 200, platform::formatJson(result));
+        open->answer(problem ? 400 : 200, store::formatJson(result));
     }
 
     /// Text of what is wrong, if anything.
@@ -239,7 +239,7 @@
             return std::nullopt;
         }
         if (target == "/clock") {
-            const std::optional<std::int64_t> step = platform::readNumber(body, "advanceMs");
+            const std::optional<std::int64_t> step = store::readNumber(body, "advanceMs");
             if (!step || *step < 0)
                 return "advanceMs has to be a number of milliseconds";
             advanceClock(std::chrono::milliseconds { *step });
@@ -248,7 +248,7 @@
         if (target != "/fault")
             return "no such command; there are /fault, /clock, /cut-watches and /stats";
         const std::optional<store_fault> fault = parseFault(body["mode"].asString());
-        const std::optional<std::int64_t> delay = platform::readNumber(body, "delayMs");
+        const std::optional<std::int64_t> delay = store::readNumber(body, "delayMs");
         if (!fault || !delay || *delay < 0)
             return "mode is unknown or delayMs is not a number of milliseconds";
         setFault(*fault, std::chrono::milliseconds { *delay });
--- /dev/null
+++ b/src/wire/neighbour_codec.cpp
@@ -0,0 +1,84 @@
+#include <shallotcove/wire/neighbour_codec.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+#include "peer_reader.hpp"
+#include "peer_writer.hpp"
+
+namespace shallotcove::wire {
+
+namespace {
+
+    constexpr std::uint8_t formatVersion = 1;
+    constexpr std::size_t maximumDataCentreBytes = 64;
+    constexpr std::size_t maximumHosts = 64;
+    // 64 hosts with short names and 100 loads of at most 8 bytes stay below the size of a message.
+    constexpr std::size_t maximumLoads = 100;
+    // Message, then an array of hosts or loads, flattened.
+    constexpr std::size_t maximumDepth = 3;
+    constexpr std::size_t maximumElements = 2 * std::max(maximumHosts, maximumLoads);
+
+} // namespace
+
+std::vector<std::byte> encodeNeighbourMessage(const steering::neighbour_message& message)
+{
+    peer_buffer buffer;
+    msgpack::packer<peer_buffer> packer(buffer);
+    const std::size_t hosts = std::min(message.hosts.size(), maximumHosts);
+    const std::size_t loads = std::min(message.loads.size(), maximumLoads);
+    packer.pack_array(6);
+    packer.pack(formatVersion);
+    packer.pack(message.dataCentre.substr(0, maximumDataCentreBytes));
+    packer.pack(message.storeRevision);
+    packer.pack(message.wantsHosts);
+    packer.pack_array(static_cast<std::uint32_t>(2 * hosts));
+    for (std::size_t index = 0; index < hosts; ++index) {
+        packer.pack(message.hosts[index].address);
+        packer.pack(message.hosts[index].dataCentre.substr(0, maximumDataCentreBytes));
+    }
+    packer.pack_array(static_cast<std::uint32_t>(2 * loads));
+    for (std::size_t index = 0; index < loads; ++index) {
+        packer.pack(message.loads[index].server.value);
+        packer.pack(message.loads[index].openFlows);
+    }
+    return std::move(buffer).take();
+}
+
+std::optional<steering::neighbour_message> decodeNeighbourMessage(std::span<const std::byte> bytes)
+{
+    constexpr std::uint64_t maximumWord = std::numeric_limits<std::uint32_t>::max();
+    if (bytes.empty() || bytes.size() > maximumNeighbourBytes)
+        return std::nullopt;
+    const msgpack::unpack_limit limits(maximumElements, 0, maximumNeighbourBytes, 0, 0, maximumDepth);
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(
+            reinterpret_cast<const char*>(bytes.data()), bytes.size(), nullptr, nullptr, limits);
+        array_reader reader(handle.get());
+        if (reader.readNumber(formatVersion) != formatVersion)
+            return std::nullopt;
+        steering::neighbour_message message;
+        message.dataCentre = reader.readText(maximumDataCentreBytes);
+        message.storeRevision = reader.readNumber(std::numeric_limits<std::uint64_t>::max());
+        message.wantsHosts = reader.readFlag();
+        array_reader hosts = reader.readArray(2 * maximumHosts);
+        while (hosts.isGood() && !hosts.isComplete()) {
+            const std::uint32_t address = static_cast<std::uint32_t>(hosts.readNumber(maximumWord));
+            message.hosts.push_back({ address, hosts.readText(maximumDataCentreBytes) });
+        }
+        array_reader loads = reader.readArray(2 * maximumLoads);
+        while (loads.isGood() && !loads.isComplete()) {
+            const std::uint32_t server = static_cast<std::uint32_t>(loads.readNumber(maximumWord));
+            message.loads.push_back(
+                { { server }, static_cast<std::uint32_t>(loads.readNumber(maximumWord)) });
+        }
+        if (!reader.isComplete() || !hosts.isGood() || !loads.isGood())
+            return std::nullopt;
+        return message;
+    } catch (const msgpack::unpack_error&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace shallotcove::wire
