--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -30,6 +30,8 @@
     /// The same while this host needs to know which data centres it can reach.
     core::duration urgentFarInterval { std::chrono::milliseconds { 250 } };
     core::duration seedInterval { std::chrono::milliseconds { 1000 } };
+    /// The same while no other host is known: a fleet that starts together finds itself within a blink.
+    core::duration firstSeedInterval { std::chrono::milliseconds { 100 } };
     /// A silent host gets messages this long, and is counted among all hosts for the longer time.
     core::duration silence { std::chrono::seconds { 10 } };
     core::duration memory { std::chrono::seconds { 120 } };
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -94,7 +94,6 @@
     struct service_traffic {
         core::timestamp since;
         double recent {};
-        double unreachable {};
     };
 
     packet_decision handleOpening(const caller_packet&, core::timestamp now);
@@ -108,7 +107,8 @@
     void release(server_tag);
     void recordUnanswered(server_tag, core::timestamp now);
     void recordAnswered(server_record&, core::timestamp now);
-    void countTraffic(const std::string& service, const placement&, core::timestamp now);
+    void countTraffic(const std::string& service, core::timestamp now);
+    bool isUnreachable(const std::string& service) const;
     const route* findRoute(const flow_address&) const;
     const std::string* chooseService(const route&);
     placement_context contextFor(const std::string& service, core::timestamp now);
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -20,6 +20,8 @@
 namespace {
 
     constexpr std::size_t knowledgePerRound = 256;
+    // Under a flood, timed work is done at least this often.
+    constexpr std::size_t batchesPerRound = 8;
 
     template <typename Enumerator, std::size_t size>
     void count(std::array<relaxed_counter, size>& counters, Enumerator which)
@@ -54,11 +56,14 @@
     void runOnce()
     {
         wait();
+        // What is due is judged by what had arrived by then.
+        const core::timestamp due = monotonicNow();
         takeKnowledge();
         receiveNeighbours();
         receiveCallers();
+        if (m_isDrained)
+            repeatOffers(due);
         const core::timestamp now = monotonicNow();
-        repeatOffers(now);
         if (now >= m_nextExchange)
             exchange(now);
         passNotes();
@@ -119,10 +124,17 @@
         }
     }
 
+    /// Reads until nothing is waiting: an acknowledgement that lies in the socket must not count as missing.
     void receiveCallers()
     {
-        if (!m_hasCallers)
-            return;
+        std::size_t received = m_hasCallers ? packet_batch::capacity : 0;
+        for (std::size_t batch = 0; batch < batchesPerRound && received == packet_batch::capacity; ++batch)
+            received = receiveCallerBatch();
+        m_isDrained = received < packet_batch::capacity;
+    }
+
+    std::size_t receiveCallerBatch()
+    {
         const std::size_t received = m_batch.receive(m_callers);
         const core::timestamp now = monotonicNow();
         for (std::size_t index = 0; index < received; ++index) {
@@ -138,6 +150,7 @@
         m_batch.send(m_callers, m_channels.counters.sendFailed);
         if (received > 0)
             m_channels.lastCallerPacket.store(now.sinceStart.count(), std::memory_order_relaxed);
+        return received;
     }
 
     void carryOut(std::size_t index, std::span<std::byte> bytes, const steering::caller_packet& packet,
@@ -306,6 +319,7 @@
     core::timestamp m_nextExchange;
     bool m_hasCallers {};
     bool m_hasNeighbours {};
+    bool m_isDrained { true };
 };
 
 tagged_packet_worker::tagged_packet_worker(udp_socket callers, udp_socket neighbours, const wake_signal& wake,
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -62,8 +62,9 @@
         if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads))
             continue;
         outgoing_message next { address, greeting(storeRevision) };
-        // A host that was only heard of does not know this one yet.
-        next.message.wantsHosts = !known.heardAt.has_value();
+        // A host that was only heard of does not know this one yet. An urgent question wants an answer at once.
+        next.message.wantsHosts
+            = !known.heardAt || (isUrgent && known.dataCentre != m_options.self.dataCentre);
         if (known.dataCentre == m_options.self.dataCentre) {
             next.message.loads = loads;
             areLoadsSent = true;
@@ -79,7 +80,7 @@
             && now - *known->second.heardAt < m_options.silence;
         const auto asked = m_seedsAskedAt.find(seed);
         const bool isTooEarly
-            = asked != m_seedsAskedAt.end() && now - asked->second < m_options.seedInterval;
+            = asked != m_seedsAskedAt.end() && now - asked->second < (m_contacts.empty() ? m_options.firstSeedInterval : m_options.seedInterval);
         if (seed == m_options.self.address || isHeard || isTooEarly)
             continue;
         m_seedsAskedAt[seed] = now;
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -141,7 +141,7 @@
     const std::vector<server_tag> none;
     const placement placed = placeFlow(m_servers.serversOf(*service), record != nullptr ? record->offered : none,
         target, contextFor(*service, now));
-    countTraffic(*service, placed, now);
+    countTraffic(*service, now);
     if (placed.server == nullptr) {
         if (record != nullptr) {
             end(*record, now, note_kind::FlowAbandoned);
@@ -330,15 +330,28 @@
     return { packet_action::Forward, packet_reason::None, server.entry.address, server.entry.wireId, server.tag };
 }
 
-void steering_engine::countTraffic(const std::string& service, const placement& placed, core::timestamp now)
+void steering_engine::countTraffic(const std::string& service, core::timestamp now)
 {
-    // Two windows of a second: the former counts half as much as the running one.
+    // A second that is over counts a quarter from then on, so that a pause of a kind of flows fades out.
     service_traffic& traffic = m_traffic[service];
     if (now - traffic.since >= std::chrono::seconds { 1 })
-        traffic = { now, traffic.recent / 4, traffic.unreachable / 4 };
+        traffic = { now, traffic.recent / 4 };
     traffic.recent += 1;
-    if (placed.permitted > 0 && placed.trusted == 0)
-        traffic.unreachable += 1;
+}
+
+bool steering_engine::isUnreachable(const std::string& service) const
+{
+    bool isAnyPermitted = false;
+    for (const server_record* const server : m_servers.serversOf(service)) {
+        if (server->entry.state != server_state::Ready || m_dataCentresOut.contains(server->entry.dataCentre))
+            continue;
+        isAnyPermitted = true;
+        const auto place = m_dataCentres.find(server->entry.dataCentre);
+        const bool isPlaceSuspect = place != m_dataCentres.end() && place->second.isSuspect();
+        if (!server->evidence.isSuspect() && !isPlaceSuspect)
+            return false;
+    }
+    return isAnyPermitted;
 }
 
 const route* steering_engine::findRoute(const flow_address& flow) const
@@ -416,7 +429,7 @@
         if (now - traffic.since > std::chrono::seconds { 2 })
             continue;
         recent += traffic.recent;
-        unreachable += traffic.unreachable;
+        unreachable += isUnreachable(service) ? traffic.recent : 0;
     }
     return recent > 0 ? unreachable / recent : 0.0;
 }
