Let flows wait at the host while servers have no room, timely ones first

Change: a server gets at most two flows a slot at once; others wait at the host, those that can still be answered in time go first, and those that cannot be answered before their callers give up are refused. Silence is evidence only while the caller still uses the host, and flows that went silent are no load. Ruled out: measuring the rate of starts for refusals (refused 350 flows in 0.2 s that could be served); counting unanswered offers as load (rooms filled with flows of callers that had moved to other hosts).

--- a/include/shallotcove/daemon/event.hpp
+++ b/include/shallotcove/daemon/event.hpp
@@ -64,6 +64,7 @@
     ReadinessChanged = 609,
     KnownHostsChanged = 610,
     LogLinesDropped = 611,
+    FlowWaiting = 612,
 };
 
 /// One row of the table of events.
@@ -191,6 +192,9 @@
         "hosts known changed", { "hosts" } },
     event_definition { event::LogLinesDropped, "LogLinesDropped", log_level::Warning,
         "lines dropped, the limit of the log was reached", { "count" } },
+    event_definition { event::FlowWaiting, "FlowWaiting", log_level::Info,
+        "no server has room, the flow waits at the host",
+        { "flow", "route", "permitted", "trusted", "configVersion" } },
 };
 
 constexpr const event_definition& definitionOf(event id)
--- a/include/shallotcove/steering/caller_packet.hpp
+++ b/include/shallotcove/steering/caller_packet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 
@@ -17,8 +18,9 @@
     bool isClosing {};
     bool isReset {};
     std::uint32_t sequence {};
-    /// In an opening packet: how many copies went before.
     std::uint32_t acknowledgement {};
+    /// In an opening packet: time since the caller sent the first copy.
+    std::chrono::milliseconds age {};
     /// Keyed sum that only the ends of the flow can compute; carried as it is.
     std::uint32_t checksum {};
     std::uint16_t payloadBytes {};
--- a/include/shallotcove/steering/data_centre_evidence.hpp
+++ b/include/shallotcove/steering/data_centre_evidence.hpp
@@ -12,8 +12,9 @@
 /// Judges whether a whole data centre can be reached: several silent servers and no answer in between.
 class data_centre_evidence {
 public:
-    /// True if the data centre became suspect by this.
-    bool recordUnanswered(server_tag, core::timestamp now, const steering_options&);
+    /// One of so many servers did not answer. True if the data centre became suspect by this.
+    bool recordUnanswered(
+        server_tag, std::size_t servers, core::timestamp now, const steering_options&);
     /// True if the data centre was suspect until now.
     bool recordAnswered();
     void recordPlacement(core::timestamp now) { m_evidence.recordPlacement(now); }
--- a/include/shallotcove/steering/flow_ledger.hpp
+++ b/include/shallotcove/steering/flow_ledger.hpp
@@ -12,6 +12,8 @@
 namespace shallotcove::steering {
 
 enum class flow_state : std::uint8_t {
+    /// No server has room for it yet.
+    Waiting,
     /// Offered to a server; the caller has not acknowledged one yet.
     Opening,
     Open,
@@ -25,12 +27,16 @@
     flow_state state { flow_state::Opening };
     /// The server that has the flow, or that it was offered to last.
     server_tag server;
+    /// Whether it is in the load of that server; not while the server does not answer.
+    bool isCounted {};
     /// All servers that it was offered to, the last one included.
     std::vector<server_tag> offered;
     caller_packet opening;
     core::timestamp startedAt;
     core::timestamp offeredAt;
     core::timestamp lastPacketAt;
+    /// When the caller stops waiting for the flow to open.
+    core::timestamp openUntil;
     /// Silence after which the flow no longer counts.
     core::duration idleLimit {};
 };
@@ -38,7 +44,7 @@
 /// Bounded table of the flows that entered through this host.
 class flow_ledger {
 public:
-    using released_handler = std::function<void(const flow_record&)>;
+    using record_handler = std::function<void(flow_record&)>;
 
     explicit flow_ledger(std::size_t capacity);
 
@@ -46,8 +52,9 @@
     flow_record* add(const flow_address&);
     flow_record* find(const flow_address&);
     void erase(const flow_address&);
+    void forEach(const record_handler& handle);
     /// Removes idle and ended flows; hands over those that had not ended.
-    void expire(core::timestamp now, core::duration memoryOfEnded, const released_handler&);
+    void expire(core::timestamp now, core::duration memoryOfEnded, const record_handler&);
 
     std::size_t size() const { return m_flows.size(); }
 
--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -33,6 +33,8 @@
     /// The same while no other host is known: a fleet that starts together finds itself within a blink.
     core::duration firstSeedInterval { std::chrono::milliseconds { 100 } };
     /// A silent host gets messages this long, and is counted among all hosts for the longer time.
+    /// A host that was heard within this time is taken to be serving; a few intervals of messages.
+    core::duration recentlyHeard { std::chrono::milliseconds { 1000 } };
     core::duration silence { std::chrono::seconds { 10 } };
     core::duration memory { std::chrono::seconds { 120 } };
 };
@@ -65,6 +67,8 @@
     /// Whether a host of the data centre was heard at or after this time.
     bool wasHeard(const std::string& dataCentre, core::timestamp since) const;
     bool knowsHostsIn(const std::string& dataCentre) const;
+    /// Other hosts of this data centre that were heard not long ago.
+    std::size_t neighbourCount(core::timestamp now) const;
     /// The highest revision of the store that a host told of.
     std::uint64_t highestRevision() const { return m_highestRevision; }
 
@@ -77,8 +81,7 @@
     };
 
     neighbour_message greeting(std::uint64_t storeRevision) const;
-    core::duration intervalOf(const contact&, bool isUrgent, bool hasNewLoads) const;
-    std::size_t neighbourCount() const;
+    core::duration intervalOf(const contact&, bool isUrgent, bool hasNewLoads, core::timestamp now) const;
     void learn(const known_host&, core::timestamp now);
 
     host_directory_options m_options;
--- a/include/shallotcove/steering/packet_decision.hpp
+++ b/include/shallotcove/steering/packet_decision.hpp
@@ -26,6 +26,8 @@
     StaleCopy,
     /// The packet names no server, or one that is not known.
     UnknownServer,
+    /// No server has room; the flow waits for one.
+    Waiting,
     /// The flow ends in a data centre that was taken out some time ago.
     DataCentreOut,
 };
--- a/include/shallotcove/steering/placement.hpp
+++ b/include/shallotcove/steering/placement.hpp
@@ -30,6 +30,10 @@
     /// Position of this host among the hosts of its data centre that place flows.
     std::size_t hostIndex {};
     std::size_t hostCount { 1 };
+    /// Hosts that place flows on the same servers at the same time.
+    std::size_t neighbours {};
+    /// Whether servers that have all the flows they can work on are passed over.
+    bool isLimited {};
     core::timestamp now;
 };
 
--- a/include/shallotcove/steering/server_directory.hpp
+++ b/include/shallotcove/steering/server_directory.hpp
@@ -36,7 +36,8 @@
     const std::vector<server_record*>& serversOf(std::string_view service) const;
     /// Every known server.
     const std::unordered_map<server_tag, server_record>& all() const { return m_records; }
-    std::size_t listedCount() const;
+    /// Servers in the store that are in the data centre.
+    std::size_t countIn(std::string_view dataCentre) const;
 
 private:
     void rebuildService(const std::string& service);
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -25,14 +26,15 @@
 #include <shallotcove/steering/server_directory.hpp>
 #include <shallotcove/steering/steering_note.hpp>
 #include <shallotcove/steering/steering_options.hpp>
+#include <shallotcove/steering/waiting_flows.hpp>
 
 namespace shallotcove::steering {
 
 struct routing_config;
 struct service_rules;
 
-/// An opening packet that goes to another server because the former did not answer.
-struct repeated_offer {
+/// What happens to an opening packet that came before: the former server did not answer, or the flow waited.
+struct delayed_offer {
     caller_packet opening;
     packet_decision decision;
 };
@@ -53,8 +55,9 @@
     /// Whether configuration and servers are known well enough to serve, and to tell callers of missing routes.
     void setInformed(bool isInformed) { m_isInformed = isInformed; }
     void applyNeighbourLoads(std::uint32_t hostAddress, const load_report&, core::timestamp now);
-    /// Addresses of all hosts known, this one included; they share the limits of cold servers.
-    void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self);
+    /// Addresses of all hosts known, this one included; they share the limits of cold servers. So many others are
+    /// in this data centre.
+    void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self, std::size_t neighbours);
     /// Another data centre can be reached again, by other evidence than flows.
     void trustDataCentre(const std::string& dataCentre);
 
@@ -62,14 +65,18 @@
 
     packet_decision handlePacket(const caller_packet&, core::timestamp now);
     /// Timed work; gives the opening packets that go to another server now.
-    std::vector<repeated_offer> advance(core::timestamp now);
+    std::vector<delayed_offer> advance(core::timestamp now);
+    /// Gives the flows that waited and get a server now, or are refused.
+    std::vector<delayed_offer> startWaiting(core::timestamp now);
+    /// Open flows at each server, to be told to the neighbours now.
+    load_report takeLoads();
     std::vector<steering_note> takeNotes();
 
     // Queries.
 
     /// When advance() has something to do next; at most a second away.
     core::timestamp nextDeadline(core::timestamp now) const;
-    load_report loads() const;
+    bool hasWaiting() const { return m_waitingCount > 0; }
     /// Share of the latest new flows, 0 to 1, that have servers which this host cannot reach.
     double unreachableShare(core::timestamp now) const;
     /// Data centres of the servers that may take new flows.
@@ -99,15 +106,28 @@
     packet_decision handleOpening(const caller_packet&, core::timestamp now);
     packet_decision handleKnown(const caller_packet&, flow_record&, core::timestamp now);
     packet_decision handleUnknown(const caller_packet&, core::timestamp now);
-    packet_decision offer(const caller_packet&, flow_record*, const route&, core::timestamp now);
+    packet_decision offerAgain(flow_record&, const route&, core::timestamp now);
+    packet_decision hold(
+        const caller_packet&, const route&, const std::string& service, const placement&, core::timestamp now);
+    /// Places a flow; without a server, the record is erased and the flow refused.
+    packet_decision carryOut(const placement&, const caller_packet&, const route&, core::timestamp now);
+    placement place(const std::string& service, const flow_record*, const route&, bool isLimited, core::timestamp now);
+    waiting_flows& waitingFor(const std::string& service);
+    void forget(const flow_address&);
+    void stopWaiting(const flow_address&);
+    void count(flow_record&, server_record&);
     packet_decision refuse(const caller_packet&, packet_reason, const placement&, core::timestamp now);
     packet_decision forwardTo(const server_record&, core::timestamp now) const;
     void open(const caller_packet&, flow_record&, core::timestamp now);
     void end(flow_record&, core::timestamp now, note_kind);
-    void release(server_tag);
+    void countAgain(flow_record&);
+    void release(flow_record&);
+    /// Takes a flow out of the load whose caller closed it through another host, or does not use it.
+    void releaseSilent(flow_record&, core::timestamp now);
     void recordUnanswered(server_tag, core::timestamp now);
     void recordAnswered(server_record&, core::timestamp now);
     void countTraffic(const std::string& service, core::timestamp now);
+    double flowsAtOnce(const std::string& service) const;
     bool isUnreachable(const std::string& service) const;
     const route* findRoute(const flow_address&) const;
     const std::string* chooseService(const route&);
@@ -128,6 +148,11 @@
     flow_ledger m_ledger;
     neighbour_loads m_neighbours;
     cold_admission m_cold;
+    std::map<std::string, waiting_flows> m_waiting;
+    std::size_t m_waitingCount {};
+    std::size_t m_neighbourCount {};
+    std::size_t m_hostCount { 1 };
+    std::optional<core::timestamp> m_startedAt;
     opening_timer m_openings;
     std::priority_queue<offer_deadline, std::vector<offer_deadline>, std::greater<>> m_deadlines;
     std::map<std::string, service_traffic> m_traffic;
--- a/include/shallotcove/steering/steering_note.hpp
+++ b/include/shallotcove/steering/steering_note.hpp
@@ -11,6 +11,7 @@
 
 enum class note_kind : std::uint8_t {
     FlowPlaced,
+    FlowWaiting,
     /// The server did not answer in time, or the caller repeated its first packet.
     FlowPlacedAgain,
     FlowRefused,
--- a/include/shallotcove/steering/steering_options.hpp
+++ b/include/shallotcove/steering/steering_options.hpp
@@ -23,6 +23,9 @@
     core::duration shortestOpeningPatience { std::chrono::milliseconds { 25 } };
     core::duration longestOpeningPatience { std::chrono::milliseconds { 150 } };
     core::duration firstOpeningPatience { std::chrono::milliseconds { 45 } };
+    /// A caller that was heard this shortly before its flow was offered still uses this host. Routers move callers
+    /// every half a second while hosts come and go.
+    core::duration freshPacket { std::chrono::milliseconds { 20 } };
     /// Servers that one flow may be offered to. The caller sends three copies itself.
     std::uint32_t attemptsPerFlow { 4 };
 
@@ -31,8 +34,12 @@
     /// How long a suspect gets no new flows; doubles up to the longest with each failed trial.
     core::duration shortestSuspicion { std::chrono::milliseconds { 1000 } };
     core::duration longestSuspicion { std::chrono::milliseconds { 4000 } };
-    /// Silent servers that make their whole data centre suspect, if no server of it answered since.
+    /// Share of the servers of a data centre, and least number, that make it suspect if they are silent and none
+    /// answered since.
+    double silentShareUntilSuspect { 0.5 };
     std::size_t silentServersUntilSuspect { 2 };
+    /// Callers give an opening up this long after its first packet; what is sent later is not acknowledged.
+    core::duration openingTimeout { std::chrono::milliseconds { 1400 } };
 
     /// A server whose entry vanished while the store was in trouble stays in use this long: entries that lapsed
     /// meanwhile are back within two seconds of the store's return.
@@ -53,6 +60,27 @@
     double otherDataCentreCost { 0.75 };
     /// Cost of a cold server, in waits for one request.
     double coldServerCost { 0.3 };
+    /// Flows that a server is given at once for each of its slots. Opening and closing take as long as the work of a
+    /// short request, so that with fewer its slots would idle; with more, flows wait at the server, where their
+    /// order cannot be changed any more.
+    double flowsPerSlot { 2.0 };
+    /// The same for a server in another data centre whose load is not known.
+    double flowsPerFarSlot { 1.0 };
+    /// Flows that wait at the host at most.
+    std::size_t waitingFlows { 4096 };
+    /// Time of a request, opening and closing included, before any is measured.
+    core::duration firstServiceTime { std::chrono::milliseconds { 60 } };
+    /// How often hosts of a data centre exchange their loads.
+    core::duration exchangeInterval { std::chrono::milliseconds { 50 } };
+    /// A host that has just started does not know its neighbours yet and assumes so many.
+    std::size_t assumedNeighbours { 2 };
+    core::duration settling { std::chrono::milliseconds { 1000 } };
+
+    /// An open flow without packets is load for so many times of a request, at least for the given time: work times
+    /// vary, but hardly by more.
+    int silentServiceTimes { 4 };
+    core::duration leastSilence { std::chrono::milliseconds { 200 } };
+
     /// Loads that neighbours report count this long.
     core::duration neighbourLoadLifetime { std::chrono::milliseconds { 400 } };
     /// Hosts assumed to share the limit of a cold server while none is known.
--- a/src/daemon/tagged_log_worker.cpp
+++ b/src/daemon/tagged_log_worker.cpp
@@ -120,6 +120,9 @@
     case steering::note_kind::FlowPlaced:
         return m_log.write<event::FlowPlaced>(note.flow.toString(), server, note.subject, note.openFlows,
             note.neighbourFlows, note.permitted, note.trusted, note.configVersion);
+    case steering::note_kind::FlowWaiting:
+        return m_log.write<event::FlowWaiting>(
+            note.flow.toString(), note.subject, note.permitted, note.trusted, note.configVersion);
     case steering::note_kind::FlowPlacedAgain:
         return m_log.write<event::FlowPlacedAgain>(note.flow.toString(), server, note.subject, note.openFlows,
             note.neighbourFlows, note.permitted, note.trusted, note.configVersion, note.attempt,
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -62,7 +62,9 @@
         receiveNeighbours();
         receiveCallers();
         if (m_isDrained)
-            repeatOffers(due);
+            sendOffers(m_engine.advance(due));
+        if (m_engine.hasWaiting())
+            sendOffers(m_engine.startWaiting(monotonicNow()));
         const core::timestamp now = monotonicNow();
         if (now >= m_nextExchange)
             exchange(now);
@@ -184,14 +186,13 @@
         return { core::ip_address::fromV4(packet.flow.callerAddress), m_callers.address().port };
     }
 
-    void repeatOffers(core::timestamp now)
+    void sendOffers(const std::vector<steering::delayed_offer>& offers)
     {
-        const std::vector<steering::repeated_offer> offers = m_engine.advance(now);
         for (std::size_t index = 0; index < offers.size(); ++index) {
             const std::size_t slot = index % packet_batch::capacity;
             if (index > 0 && slot == 0)
                 m_batch.send(m_callers, m_channels.counters.sendFailed);
-            const steering::repeated_offer& offer = offers[index];
+            const steering::delayed_offer& offer = offers[index];
             if (offer.decision.action == steering::packet_action::Drop) {
                 count(m_channels.counters.dropped, offer.decision.reason);
                 continue;
@@ -261,15 +262,17 @@
 
     void exchange(core::timestamp now)
     {
-        m_nextExchange = now + m_options.exchangeInterval;
+        m_nextExchange = now + m_options.steering.exchangeInterval;
         updateReadiness(now);
         const bool isUrgent = m_readiness.state() == steering::readiness_state::Isolated;
         for (const steering::outgoing_message& outgoing :
-            m_hosts.advance(m_engine.loads(), m_view.revision, isUrgent, now))
+            m_hosts.advance(m_engine.takeLoads(), m_view.revision, isUrgent, now))
             send(outgoing);
-        if (m_hosts.takeChanged()) {
+        const std::size_t neighbours = m_hosts.neighbourCount(now);
+        if (m_hosts.takeChanged() || neighbours != m_neighbourCount) {
             const std::vector<std::uint32_t> hosts = m_hosts.addresses();
-            m_engine.setHosts(hosts, m_options.hosts.self.address);
+            m_neighbourCount = neighbours;
+            m_engine.setHosts(hosts, m_options.hosts.self.address, neighbours);
             m_channels.counters.hosts.store(hosts.size(), std::memory_order_relaxed);
         }
         m_channels.counters.flows.store(m_engine.flowCount(), std::memory_order_relaxed);
@@ -317,6 +320,7 @@
     view_state m_view;
     packet_batch m_batch;
     core::timestamp m_nextExchange;
+    std::size_t m_neighbourCount {};
     bool m_hasCallers {};
     bool m_hasNeighbours {};
     bool m_isDrained { true };
--- a/src/daemon/tagged_packet_worker.hpp
+++ b/src/daemon/tagged_packet_worker.hpp
@@ -15,8 +15,6 @@
 struct tagged_packet_options {
     steering::steering_options steering;
     steering::host_directory_options hosts;
-    /// How often loads are exchanged and readiness is judged.
-    core::duration exchangeInterval { std::chrono::milliseconds { 50 } };
 };
 
 /// Owns the sockets of callers and neighbours, and the decisions on packets; all calls come from the packet thread.
--- a/src/steering/data_centre_evidence.cpp
+++ b/src/steering/data_centre_evidence.cpp
@@ -7,11 +7,12 @@
 namespace shallotcove::steering {
 
 bool data_centre_evidence::recordUnanswered(
-    server_tag server, core::timestamp now, const steering_options& options)
+    server_tag server, std::size_t servers, core::timestamp now, const steering_options& options)
 {
     if (std::find(m_silent.begin(), m_silent.end(), server) == m_silent.end())
         m_silent.push_back(server);
-    if (m_silent.size() < options.silentServersUntilSuspect)
+    const double share = static_cast<double>(m_silent.size()) / static_cast<double>(std::max<std::size_t>(1, servers));
+    if (m_silent.size() < options.silentServersUntilSuspect || share < options.silentShareUntilSuspect)
         return false;
     return m_evidence.recordUnanswered(now, 1, options);
 }
--- a/src/steering/flow_ledger.cpp
+++ b/src/steering/flow_ledger.cpp
@@ -22,21 +22,29 @@
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
+void flow_ledger::forEach(const record_handler& handle)
+{
+    for (auto& [flow, record] : m_flows)
+        handle(record);
+}
+
 void flow_ledger::erase(const flow_address& flow) { m_flows.erase(flow); }
 
 void flow_ledger::expire(
-    core::timestamp now, core::duration memoryOfEnded, const released_handler& handleReleased)
+    core::timestamp now, core::duration memoryOfEnded, const record_handler& handleReleased)
 {
-    std::erase_if(m_flows, [&](const auto& known) {
-        const flow_record& record = known.second;
+    for (auto known = m_flows.begin(); known != m_flows.end();) {
+        flow_record& record = known->second;
         const core::duration silence = now - record.lastPacketAt;
-        if (record.state == flow_state::Ended)
-            return silence >= memoryOfEnded;
-        if (silence < record.idleLimit)
-            return false;
-        handleReleased(record);
-        return true;
-    });
+        const bool isEnded = record.state == flow_state::Ended;
+        if (silence < (isEnded ? memoryOfEnded : record.idleLimit)) {
+            ++known;
+            continue;
+        }
+        if (!isEnded)
+            handleReleased(record);
+        known = m_flows.erase(known);
+    }
 }
 
 } // namespace shallotcove::steering
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -59,7 +59,7 @@
     for (auto& [address, known] : m_contacts) {
         if (now - known.heardAt.value_or(known.knownSince) >= m_options.silence)
             continue;
-        if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads))
+        if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads, now))
             continue;
         outgoing_message next { address, greeting(storeRevision) };
         // A host that was only heard of does not know this one yet. An urgent question wants an answer at once.
@@ -123,7 +123,8 @@
     return message;
 }
 
-core::duration host_directory::intervalOf(const contact& known, bool isUrgent, bool hasNewLoads) const
+core::duration host_directory::intervalOf(
+    const contact& known, bool isUrgent, bool hasNewLoads, core::timestamp now) const
 {
     if (!known.heardAt)
         return m_options.seedInterval;
@@ -131,15 +132,18 @@
         return isUrgent ? m_options.urgentFarInterval : m_options.farInterval;
     if (!hasNewLoads)
         return m_options.idleInterval;
-    const double spread = static_cast<double>(neighbourCount()) / m_options.messagesPerSecond;
+    const double spread = static_cast<double>(neighbourCount(now)) / m_options.messagesPerSecond;
     return std::max(m_options.loadInterval,
         std::chrono::duration_cast<core::duration>(std::chrono::duration<double> { spread }));
 }
 
-std::size_t host_directory::neighbourCount() const
+std::size_t host_directory::neighbourCount(core::timestamp now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_contacts.begin(), m_contacts.end(),
-        [this](const auto& known) { return known.second.dataCentre == m_options.self.dataCentre; }));
+    return static_cast<std::size_t>(
+        std::count_if(m_contacts.begin(), m_contacts.end(), [this, now](const auto& known) {
+            return known.second.dataCentre == m_options.self.dataCentre && known.second.heardAt
+                && now - *known.second.heardAt < m_options.recentlyHeard;
+        }));
 }
 
 void host_directory::learn(const known_host& host, core::timestamp now)
--- a/src/steering/packet_decision.cpp
+++ b/src/steering/packet_decision.cpp
@@ -21,6 +21,8 @@
         return "staleCopy";
     case packet_reason::UnknownServer:
         return "unknownServer";
+    case packet_reason::Waiting:
+        return "waiting";
     case packet_reason::DataCentreOut:
         return "dataCentreOut";
     }
--- a/src/steering/placement.cpp
+++ b/src/steering/placement.cpp
@@ -58,6 +58,16 @@
         return context.now < server.coldUntil;
     }
 
+    bool hasRoom(const server_record& server, const placement_context& context)
+    {
+        const bool isNear = server.entry.dataCentre == context.options.dataCentre;
+        const double perSlot
+            = isNear || server.neighbourFlows > 0 ? context.options.flowsPerSlot : context.options.flowsPerFarSlot;
+        const double expected = server.openFlows + server.neighbourFlows
+            + static_cast<double>(server.freshFlows) * static_cast<double>(context.neighbours);
+        return expected < perSlot * std::max(1U, server.entry.slots);
+    }
+
     /// The position of a server in this host's order of equal servers, from 0 up to 1.
     double orderOf(std::size_t index, std::size_t count, const placement_context& context)
     {
@@ -104,6 +114,7 @@
     suitability best = suitability::Offered;
     double bestCost = std::numeric_limits<double>::infinity();
     bool isHeldByLimit = false;
+    bool isHeldByLoad = false;
     for (std::size_t index = 0; index < servers.size(); ++index) {
         server_record& server = *servers[index];
         if (!isPermitted(server, target, context))
@@ -119,12 +130,21 @@
             isHeldByLimit = true;
             continue;
         }
+        if (context.isLimited && !hasRoom(server, context)) {
+            isHeldByLoad = true;
+            continue;
+        }
         best = suits;
         bestCost = cost;
         result.server = &server;
     }
+    // A suspect server is no better than one that has no room yet.
+    if (isHeldByLoad && best < suitability::Admitted)
+        result.server = nullptr;
     if (result.server == nullptr)
-        result.failure = isHeldByLimit ? packet_reason::ColdLimit : packet_reason::NoServer;
+        result.failure = isHeldByLoad ? packet_reason::Waiting
+            : isHeldByLimit           ? packet_reason::ColdLimit
+                                      : packet_reason::NoServer;
     else if (context.coldFlowsPerSecond > 0 && isCold(*result.server, context))
         context.cold.recordPlacement(result.server->tag, context.now);
     return result;
--- a/src/steering/server_directory.cpp
+++ b/src/steering/server_directory.cpp
@@ -79,12 +79,11 @@
     return found == m_services.end() ? none : found->second;
 }
 
-std::size_t server_directory::listedCount() const
+std::size_t server_directory::countIn(std::string_view dataCentre) const
 {
-    std::size_t count = 0;
-    for (const auto& [service, servers] : m_services)
-        count += servers.size();
-    return count;
+    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [&](const auto& known) {
+        return known.second.presence != server_presence::Left && known.second.entry.dataCentre == dataCentre;
+    }));
 }
 
 void server_directory::rebuildService(const std::string& service)
