--- a/include/shallotcove/daemon/tagged_settings.hpp
+++ b/include/shallotcove/daemon/tagged_settings.hpp
@@ -25,7 +25,8 @@
     friend bool operator==(const tagged_limits&, const tagged_limits&) = default;
 };
 
-/// Settings of a host on a transport whose packets carry the tag of their backend server (docs/settings-tagged.md).
+/// Settings of a host on a transport whose packets carry the tag of their backend server
+/// (docs/settings-tagged.md).
 struct tagged_settings {
     std::string name;
     std::string dataCentre;
--- a/include/shallotcove/steering/cold_admission.hpp
+++ b/include/shallotcove/steering/cold_admission.hpp
@@ -12,7 +12,8 @@
 namespace shallotcove::steering {
 
 /// Shares the limit of a cold backend server among the hosts without talking to them: each host knows who the
-/// others are and takes its part. Hosts that know fewer others take more, so departed hosts are counted for long.
+/// others are and takes its part. Hosts that know fewer others take more, so departed hosts are counted for
+/// long.
 class cold_admission {
 public:
     /// Sorted addresses of all hosts that may place flows, this one included.
--- a/include/shallotcove/steering/data_centre_evidence.hpp
+++ b/include/shallotcove/steering/data_centre_evidence.hpp
@@ -13,8 +13,7 @@
 class data_centre_evidence {
 public:
     /// One of so many servers did not answer. True if the data centre became suspect by this.
-    bool recordUnanswered(
-        server_tag, std::size_t servers, core::timestamp now, const steering_options&);
+    bool recordUnanswered(server_tag, std::size_t servers, core::timestamp now, const steering_options&);
     /// True if the data centre was suspect until now.
     bool recordAnswered();
     void recordPlacement(core::timestamp now) { m_evidence.recordPlacement(now); }
--- a/include/shallotcove/steering/flow_ledger.hpp
+++ b/include/shallotcove/steering/flow_ledger.hpp
@@ -21,8 +21,8 @@
     Ended,
 };
 
-/// What this host knows of a flow. The tag in its packets is enough to steer it; this is for load, evidence and
-/// repeated first packets.
+/// What this host knows of a flow. The tag in its packets is enough to steer it; this is for load, evidence
+/// and repeated first packets.
 struct flow_record {
     flow_state state { flow_state::Opening };
     /// The server that has the flow, or that it was offered to last.
--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -44,8 +44,8 @@
     neighbour_message message;
 };
 
-/// Finds the other hosts through seeds and what hosts tell each other, and decides who gets which message when.
-/// The store is not needed for it.
+/// Finds the other hosts through seeds and what hosts tell each other, and decides who gets which message
+/// when. The store is not needed for it.
 class host_directory {
 public:
     explicit host_directory(host_directory_options);
--- a/include/shallotcove/steering/placement.hpp
+++ b/include/shallotcove/steering/placement.hpp
@@ -47,11 +47,11 @@
     std::uint32_t trusted {};
 };
 
-/// Chooses the server that answers soonest: few open flows for its slots, near, warm, not suspect. Answers the
-/// usual load of a data centre whose hosts each see a part of the flows: equal servers are taken in an order
-/// that differs from host to host, so that hosts do not meet at the same one.
-placement placeFlow(std::span<server_record* const> servers, std::span<const server_tag> offered, const route&,
-    const placement_context&);
+/// Chooses the server that answers soonest: few open flows for its slots, near, warm, not suspect. Answers
+/// the usual load of a data centre whose hosts each see a part of the flows: equal servers are taken in an
+/// order that differs from host to host, so that hosts do not meet at the same one.
+placement placeFlow(std::span<server_record* const> servers, std::span<const server_tag> offered,
+    const route&, const placement_context&);
 
 /// Wait before the server begins with one more request, in times of one request.
 double queueLength(const server_record&);
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -39,9 +39,9 @@
     packet_decision decision;
 };
 
-/// Decides on the packets of callers where packets carry the tag of their backend server. Any host can steer any
-/// packet but the first of a flow by the tag alone; hosts agree on nothing. No sockets, threads, clocks or logs:
-/// the result depends on the calls, their times and the seed.
+/// Decides on the packets of callers where packets carry the tag of their backend server. Any host can steer
+/// any packet but the first of a flow by the tag alone; hosts agree on nothing. No sockets, threads, clocks
+/// or logs: the result depends on the calls, their times and the seed.
 class steering_engine {
 public:
     explicit steering_engine(steering_options);
@@ -52,11 +52,12 @@
     void applyServer(const server_entry&, core::timestamp now);
     void removeServer(std::string_view serverId, bool isDoubtful, core::timestamp now);
     void setDataCentreOut(const std::string& dataCentre, bool isOut, core::timestamp now);
-    /// Whether configuration and servers are known well enough to serve, and to tell callers of missing routes.
+    /// Whether configuration and servers are known well enough to serve, and to tell callers of missing
+    /// routes.
     void setInformed(bool isInformed) { m_isInformed = isInformed; }
     void applyNeighbourLoads(std::uint32_t hostAddress, const load_report&, core::timestamp now);
-    /// Addresses of all hosts known, this one included; they share the limits of cold servers. So many others are
-    /// in this data centre.
+    /// Addresses of all hosts known, this one included; they share the limits of cold servers. So many others
+    /// are in this data centre.
     void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self, std::size_t neighbours);
     /// Another data centre can be reached again, by other evidence than flows.
     void trustDataCentre(const std::string& dataCentre);
@@ -107,11 +108,12 @@
     packet_decision handleKnown(const caller_packet&, flow_record&, core::timestamp now);
     packet_decision handleUnknown(const caller_packet&, core::timestamp now);
     packet_decision offerAgain(flow_record&, const route&, core::timestamp now);
-    packet_decision hold(
-        const caller_packet&, const route&, const std::string& service, const placement&, core::timestamp now);
+    packet_decision hold(const caller_packet&, const route&, const std::string& service, const placement&,
+        core::timestamp now);
     /// Places a flow; without a server, the record is erased and the flow refused.
     packet_decision carryOut(const placement&, const caller_packet&, const route&, core::timestamp now);
-    placement place(const std::string& service, const flow_record*, const route&, bool isLimited, core::timestamp now);
+    placement place(
+        const std::string& service, const flow_record*, const route&, bool isLimited, core::timestamp now);
     waiting_flows& waitingFor(const std::string& service);
     void forget(const flow_address&);
     void stopWaiting(const flow_address&);
--- a/include/shallotcove/steering/steering_options.hpp
+++ b/include/shallotcove/steering/steering_options.hpp
@@ -18,13 +18,13 @@
     /// Seeds the choice between services of a split route.
     std::uint64_t randomSeed { 1 };
 
-    /// Bounds of the time that an opening packet may stay without the caller's acknowledgement before it goes to
-    /// another server. Between them it follows the measured time, like TCP's retransmission time-out.
+    /// Bounds of the time that an opening packet may stay without the caller's acknowledgement before it goes
+    /// to another server. Between them it follows the measured time, like TCP's retransmission time-out.
     core::duration shortestOpeningPatience { std::chrono::milliseconds { 25 } };
     core::duration longestOpeningPatience { std::chrono::milliseconds { 150 } };
     core::duration firstOpeningPatience { std::chrono::milliseconds { 45 } };
-    /// A caller that was heard this shortly before its flow was offered still uses this host. Routers move callers
-    /// every half a second while hosts come and go.
+    /// A caller that was heard this shortly before its flow was offered still uses this host. Routers move
+    /// callers every half a second while hosts come and go.
     core::duration freshPacket { std::chrono::milliseconds { 20 } };
     /// Servers that one flow may be offered to. The caller sends three copies itself.
     std::uint32_t attemptsPerFlow { 4 };
@@ -34,15 +34,15 @@
     /// How long a suspect gets no new flows; doubles up to the longest with each failed trial.
     core::duration shortestSuspicion { std::chrono::milliseconds { 1000 } };
     core::duration longestSuspicion { std::chrono::milliseconds { 4000 } };
-    /// Share of the servers of a data centre, and least number, that make it suspect if they are silent and none
-    /// answered since.
+    /// Share of the servers of a data centre, and least number, that make it suspect if they are silent and
+    /// none answered since.
     double silentShareUntilSuspect { 0.5 };
     std::size_t silentServersUntilSuspect { 2 };
     /// Callers give an opening up this long after its first packet; what is sent later is not acknowledged.
     core::duration openingTimeout { std::chrono::milliseconds { 1400 } };
 
-    /// A server whose entry vanished while the store was in trouble stays in use this long: entries that lapsed
-    /// meanwhile are back within two seconds of the store's return.
+    /// A server whose entry vanished while the store was in trouble stays in use this long: entries that
+    /// lapsed meanwhile are back within two seconds of the store's return.
     core::duration doubtAfterRemoval { std::chrono::milliseconds { 2000 } };
     /// Servers that left are remembered for the longest life of a flow, with a margin.
     core::duration memoryOfServers { std::chrono::seconds { 90 } };
@@ -60,9 +60,9 @@
     double otherDataCentreCost { 0.75 };
     /// Cost of a cold server, in waits for one request.
     double coldServerCost { 0.3 };
-    /// Flows that a server is given at once for each of its slots. Opening and closing take as long as the work of a
-    /// short request, so that with fewer its slots would idle; with more, flows wait at the server, where their
-    /// order cannot be changed any more.
+    /// Flows that a server is given at once for each of its slots. Opening and closing take as long as the
+    /// work of a short request, so that with fewer its slots would idle; with more, flows wait at the server,
+    /// where their order cannot be changed any more.
     double flowsPerSlot { 2.0 };
     /// The same for a server in another data centre whose load is not known.
     double flowsPerFarSlot { 1.0 };
@@ -76,8 +76,8 @@
     std::size_t assumedNeighbours { 2 };
     core::duration settling { std::chrono::milliseconds { 1000 } };
 
-    /// An open flow without packets is load for so many times of a request, at least for the given time: work times
-    /// vary, but hardly by more.
+    /// An open flow without packets is load for so many times of a request, at least for the given time: work
+    /// times vary, but hardly by more.
     int silentServiceTimes { 4 };
     core::duration leastSilence { std::chrono::milliseconds { 200 } };
 
--- a/include/shallotcove/steering/store_change.hpp
+++ b/include/shallotcove/steering/store_change.hpp
@@ -39,7 +39,8 @@
     friend bool operator==(const unreadable_item&, const unreadable_item&) = default;
 };
 
-using item_content = std::variant<removed_item, unreadable_item, routing_config, data_centre_out, server_entry>;
+using item_content
+    = std::variant<removed_item, unreadable_item, routing_config, data_centre_out, server_entry>;
 
 /// An item as the store has it from a revision on.
 struct store_change {
--- a/include/shallotcove/steering/store_view.hpp
+++ b/include/shallotcove/steering/store_view.hpp
@@ -22,21 +22,21 @@
 };
 
 struct store_view_options {
-    /// Entries that vanish this soon after trouble with the store may have lapsed: they do after three heartbeats
-    /// and the store's own recovery.
+    /// Entries that vanish this soon after trouble with the store may have lapsed: they do after three
+    /// heartbeats and the store's own recovery.
     core::duration troubleWindow { std::chrono::seconds { 10 } };
 };
 
-/// What a host holds to be in the store. Nothing in force goes back, however late, stale or incomplete the answers
-/// of the store are.
+/// What a host holds to be in the store. Nothing in force goes back, however late, stale or incomplete the
+/// answers of the store are.
 class store_view {
 public:
     explicit store_view(const store_view_options& options = {});
 
     /// A change that a watch reports. Nothing if it is older than what is in force, or changes nothing.
     std::optional<view_update> apply(store_change, core::timestamp now);
-    /// All items at a revision. Items that are in force and not listed are gone. A listing from before the latest
-    /// known revision is ignored.
+    /// All items at a revision. Items that are in force and not listed are gone. A listing from before the
+    /// latest known revision is ignored.
     std::vector<view_update> applyListing(
         std::vector<store_change>, std::uint64_t revision, core::timestamp now);
     /// A watch reported everything up to this revision.
--- a/include/shallotcove/steering/waiting_flows.hpp
+++ b/include/shallotcove/steering/waiting_flows.hpp
@@ -17,8 +17,8 @@
     /// 0 is the most important.
     std::uint32_t priority {};
     core::timestamp arrivedAt;
-    /// When the answer stops being timely, when the caller gives the flow up if it is not open, and when it gives
-    /// up altogether.
+    /// When the answer stops being timely, when the caller gives the flow up if it is not open, and when it
+    /// gives up altogether.
     core::timestamp goalAt;
     core::timestamp openUntil;
     core::timestamp expiresAt;
@@ -26,10 +26,11 @@
     friend bool operator==(const waiting_flow&, const waiting_flow&) = default;
 };
 
-/// New flows of one service that wait at the host for a server with room. Answers a load above what the servers
-/// bear for a while, such as the callers that come back together after an outage: a flow that can still be answered
-/// in time goes before one that is late already, so that the backlog does not make everybody late. Flows that
-/// cannot be answered before their callers give up are refused as soon as that is known.
+/// New flows of one service that wait at the host for a server with room. Answers a load above what the
+/// servers bear for a while, such as the callers that come back together after an outage: a flow that can
+/// still be answered in time goes before one that is late already, so that the backlog does not make
+/// everybody late. Flows that cannot be answered before their callers give up are refused as soon as that is
+/// known.
 class waiting_flows {
 public:
     explicit waiting_flows(core::duration firstServiceTime);
@@ -47,8 +48,8 @@
 
     /// The flow that gets the next server.
     std::optional<waiting_flow> next(core::timestamp now) const;
-    /// Whether a flow can expect a server before its caller gives up, behind all that go before it, if the servers
-    /// that this host may use work on so many flows at once.
+    /// Whether a flow can expect a server before its caller gives up, behind all that go before it, if the
+    /// servers that this host may use work on so many flows at once.
     bool canServe(const waiting_flow&, double flowsAtOnce, core::timestamp now) const;
     bool isEmpty() const { return m_flows.empty(); }
     std::size_t size() const { return m_flows.size(); }
--- a/include/shallotcove/store/http_exchange.hpp
+++ b/include/shallotcove/store/http_exchange.hpp
@@ -54,9 +54,9 @@
 /// Makes TCP notice a peer that is gone without a word within this time, by probes and unacknowledged data.
 void setPeerTimeout(boost::asio::ip::tcp::socket&, std::chrono::seconds);
 
-/// Sends one request on a connection of its own and hands over the answer. onSent is called when the connection stands and the request goes out. A
-/// connection is not used twice, because a request on an idle connection that the server is just closing
-/// could not be told from one whose answer was lost.
+/// Sends one request on a connection of its own and hands over the answer. onSent is called when the
+/// connection stands and the request goes out. A connection is not used twice, because a request on an idle
+/// connection that the server is just closing could not be told from one whose answer was lost.
 void exchangeHttp(boost::asio::io_context&, const core::socket_address& server, http_question,
     const http_timeouts&, std::function<void()> onSent, http_handler);
 
--- a/src/daemon/config_change.hpp
+++ b/src/daemon/config_change.hpp
@@ -11,8 +11,8 @@
 #include <shallotcove/core/config_json.hpp>
 #include <shallotcove/core/control_engine.hpp>
 #include <shallotcove/core/operations.hpp>
-#include <shallotcove/store/key_value_client.hpp>
 #include <shallotcove/rpc/call_result.hpp>
+#include <shallotcove/store/key_value_client.hpp>
 
 namespace shallotcove::daemon {
 
--- a/src/daemon/config_commands.hpp
+++ b/src/daemon/config_commands.hpp
@@ -134,8 +134,8 @@
         const tl::expected<core::service_id, rpc::call_failure> fresh = parseNextServiceId(*counter);
         if (!fresh)
             return tl::unexpected(fresh.error());
-        nextId = store::key_swap { nextServiceIdKey,
-            *counter ? (*counter)->modified : core::config_index {}, std::to_string(fresh->value + 1) };
+        nextId = store::key_swap { nextServiceIdKey, *counter ? (*counter)->modified : core::config_index {},
+            std::to_string(fresh->value + 1) };
         // The name of a removed service is free once no host can still hold the old value.
         const bool isReplaceable = current.config && current.config->state == core::service_state::Removing
             && isAppliedEverywhere(current.modified);
--- a/src/daemon/http_responder.cpp
+++ b/src/daemon/http_responder.cpp
@@ -49,7 +49,7 @@
             const bool isGet = m_request.method() == http::verb::get;
             const beast::string_view target = m_request.target();
             const http_reply reply = isGet ? m_handle({ target.data(), target.size() })
-                                            : http_reply { 405, "text/plain", "only GET is answered\n" };
+                                           : http_reply { 405, "text/plain", "only GET is answered\n" };
             m_response = { static_cast<http::status>(reply.status), m_request.version() };
             m_response.set(http::field::content_type, reply.contentType);
             m_response.body() = reply.body;
@@ -127,7 +127,8 @@
 tl::expected<std::unique_ptr<http_responder>, std::string> http_responder::create(
     asio::io_context& context, const core::socket_address& address, handler handle)
 {
-    const std::shared_ptr<implementation> inner = std::make_shared<implementation>(context, std::move(handle));
+    const std::shared_ptr<implementation> inner
+        = std::make_shared<implementation>(context, std::move(handle));
     const boost::system::error_code error = inner->listen(address);
     if (error)
         return tl::unexpected(error.message());
--- a/src/daemon/operator_store.cpp
+++ b/src/daemon/operator_store.cpp
@@ -25,8 +25,7 @@
 operator_store::found_entry operator_store::read(const std::string& key)
 {
     const answer_of<store::store_range> range = call<store::store_range>("readRange",
-        [key](
-            store::key_value_client& client, std::function<void(answer_of<store::store_range>)> done) {
+        [key](store::key_value_client& client, std::function<void(answer_of<store::store_range>)> done) {
             client.readRange(key, std::move(done));
         });
     if (!range)
@@ -39,12 +38,10 @@
     return std::optional<core::store_entry> { *found };
 }
 
-tl::expected<store::swap_result, store::store_error> operator_store::swap(
-    std::vector<store::key_swap> swaps)
+tl::expected<store::swap_result, store::store_error> operator_store::swap(std::vector<store::key_swap> swaps)
 {
     return call<store::swap_result>("compareAndSwap",
-        [swaps](
-            store::key_value_client& client, std::function<void(answer_of<store::swap_result>)> done) {
+        [swaps](store::key_value_client& client, std::function<void(answer_of<store::swap_result>)> done) {
             client.compareAndSwap(swaps, 0, std::move(done));
         });
 }
--- a/src/daemon/operator_store.hpp
+++ b/src/daemon/operator_store.hpp
@@ -59,8 +59,7 @@
     template <typename Result> using answer_of = tl::expected<Result, store::store_error>;
 
     template <typename Result>
-    using start_call
-        = std::function<void(store::key_value_client&, std::function<void(answer_of<Result>)>)>;
+    using start_call = std::function<void(store::key_value_client&, std::function<void(answer_of<Result>)>)>;
 
     template <typename Result> answer_of<Result> call(const char* name, start_call<Result> start)
     {
--- a/src/daemon/packet_batch.cpp
+++ b/src/daemon/packet_batch.cpp
@@ -9,7 +9,8 @@
     , m_bytes(capacity * options.slotBytes())
 {
     for (std::size_t i = 0; i < capacity; ++i) {
-        m_receivedParts[i] = { m_bytes.data() + i * options.slotBytes() + options.headroom, options.maximumDatagram };
+        m_receivedParts[i]
+            = { m_bytes.data() + i * options.slotBytes() + options.headroom, options.maximumDatagram };
         m_received[i].msg_hdr.msg_iov = &m_receivedParts[i];
         m_received[i].msg_hdr.msg_iovlen = 1;
         m_received[i].msg_hdr.msg_name = &m_sources[i];
--- a/src/daemon/packet_batch.hpp
+++ b/src/daemon/packet_batch.hpp
@@ -15,7 +15,8 @@
 namespace shallotcove::daemon {
 
 struct packet_batch_options {
-    /// Bytes in front of a datagram: by default room for a GUE or redirect header in front of the inner packet.
+    /// Bytes in front of a datagram: by default room for a GUE or redirect header in front of the inner
+    /// packet.
     std::size_t headroom { wire::redirectPrefixBytes + wire::gueHeaderBytes };
     /// Longer datagrams are truncated; by default the payload of a jumbo frame.
     std::size_t maximumDatagram { 9000 };
--- a/src/daemon/platform_parts_test.cpp
+++ b/src/daemon/platform_parts_test.cpp
@@ -55,8 +55,8 @@
 
     void put(const std::string& key)
     {
-        client->compareAndSwap({ { key, {}, "x" } }, 0,
-            [](const tl::expected<store::swap_result, store::store_error>&) {});
+        client->compareAndSwap(
+            { { key, {}, "x" } }, 0, [](const tl::expected<store::swap_result, store::store_error>&) {});
     }
 
     void take()
--- a/src/daemon/platform_worker.cpp
+++ b/src/daemon/platform_worker.cpp
@@ -83,8 +83,7 @@
     void handle(const core::store_write& write)
     {
         m_store->compareAndSwap({ { write.key, write.expected, write.value } }, 0,
-            [this, key = write.key](
-                const tl::expected<store::swap_result, store::store_error>& answer) {
+            [this, key = write.key](const tl::expected<store::swap_result, store::store_error>& answer) {
                 handleWritten(key, answer);
             });
     }
@@ -125,8 +124,7 @@
             if (std::exchange(m_isListAvailable, false)) {
                 m_listOutageStart = monotonicNow();
                 m_log.write<event::HostListUnavailable>(
-                    hosts.error() == store::host_list_error::Unavailable ? "Unavailable"
-                                                                            : "ProtocolError");
+                    hosts.error() == store::host_list_error::Unavailable ? "Unavailable" : "ProtocolError");
             }
             return;
         }
--- a/src/daemon/settings_json.hpp
+++ b/src/daemon/settings_json.hpp
@@ -18,8 +18,8 @@
 
 /// Reads a nested object, if it is there.
 template <typename Part>
-void readNested(field_reader& fields, const char* name, presence need, void (*read)(field_reader, Part&), Part& out,
-    std::string_view text, settings_problems& problems)
+void readNested(field_reader& fields, const char* name, presence need, void (*read)(field_reader, Part&),
+    Part& out, std::string_view text, settings_problems& problems)
 {
     const Json::Value* const object = fields.readObject(name, need);
     if (object != nullptr)
--- a/src/daemon/shallotcoved_main.cpp
+++ b/src/daemon/shallotcoved_main.cpp
@@ -90,7 +90,8 @@
 /// Reads the settings of either transport, and checks them or runs a host with them.
 int start(const std::string& fileName)
 {
-    const tl::expected<std::string, daemon_ns::settings_problems> text = daemon_ns::readSettingsText(fileName);
+    const tl::expected<std::string, daemon_ns::settings_problems> text
+        = daemon_ns::readSettingsText(fileName);
     if (!text)
         return reportProblems(text.error(), fileName);
     if (daemon_ns::isTaggedTransport(*text)) {
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -89,7 +89,8 @@
     using answer = tl::expected<store::http_answer, store::http_error>;
 
     /// Sends a call; answers to calls before the latest are ignored.
-    void call(const std::string& target, std::chrono::milliseconds wait, void (implementation::*handle)(const answer&))
+    void call(const std::string& target, std::chrono::milliseconds wait,
+        void (implementation::*handle)(const answer&))
     {
         const std::uint64_t generation = ++m_generation;
         const store::http_timeouts timeouts { wait + m_options.answerTimeout, m_options.connectTimeout };
@@ -135,7 +136,8 @@
     {
         m_isWatching = true;
         const std::chrono::milliseconds wait = m_needsProbe ? m_options.probeWait : m_options.watchWait;
-        call(platform::watchTarget(m_options.prefix, m_view.revision(), wait), wait, &implementation::handleWatch);
+        call(platform::watchTarget(m_options.prefix, m_view.revision(), wait), wait,
+            &implementation::handleWatch);
     }
 
     void handleWatch(const answer& result)
--- a/src/daemon/store_follower.hpp
+++ b/src/daemon/store_follower.hpp
@@ -22,17 +22,17 @@
     /// Keys that are read and watched; all of them in one call.
     std::string prefix;
     std::uint64_t randomSeed { 1 };
-    /// How long a watch waits for changes. A store that goes silent is found out at its end, well within the time
-    /// that hosts have to apply changes after such trouble.
+    /// How long a watch waits for changes. A store that goes silent is found out at its end, well within the
+    /// time that hosts have to apply changes after such trouble.
     std::chrono::milliseconds watchWait { 3200 };
     /// The same after a failed call, until one is answered.
     std::chrono::milliseconds probeWait { 300 };
-    /// Time for an answer, besides the wait of a watch. The store answers in milliseconds; when it is slow, in some
-    /// hundred.
+    /// Time for an answer, besides the wait of a watch. The store answers in milliseconds; when it is slow,
+    /// in some hundred.
     std::chrono::milliseconds answerTimeout { 800 };
     std::chrono::milliseconds connectTimeout { 800 };
-    /// Least time between the starts of two watches: changes in quick succession come with one call. A third of the
-    /// time that hosts have to apply a change.
+    /// Least time between the starts of two watches: changes in quick succession come with one call. A third
+    /// of the time that hosts have to apply a change.
     std::chrono::milliseconds leastInterval { 1000 };
     /// Wait after a failed call; doubles up to the longest, with jitter.
     std::chrono::milliseconds shortestBackoff { 100 };
@@ -52,8 +52,8 @@
 /// Keeps a view of the store up to date: reads all items once, then watches from that revision on.
 class store_follower {
 public:
-    store_follower(
-        boost::asio::io_context&, const store_follower_options&, steering::store_view&, store_follower_events);
+    store_follower(boost::asio::io_context&, const store_follower_options&, steering::store_view&,
+        store_follower_events);
     ~store_follower();
 
     void start();
--- a/src/daemon/tagged_host.cpp
+++ b/src/daemon/tagged_host.cpp
@@ -90,7 +90,8 @@
 
 class tagged_host::implementation {
 public:
-    implementation(const tagged_settings& settings, std::string settingsFile, event_log& log, wake_signal wake)
+    implementation(
+        const tagged_settings& settings, std::string settingsFile, event_log& log, wake_signal wake)
         : m_settings(settings)
         , m_settingsFile(std::move(settingsFile))
         , m_log(log)
@@ -115,12 +116,14 @@
         tl::expected<std::unique_ptr<http_responder>, std::string> responder = http_responder::create(
             m_context, m_settings.readinessAddress, [this](std::string_view) { return readinessReply(); });
         if (!responder)
-            return start_failure { "readinessAddress", m_settings.readinessAddress.toString(), responder.error() };
+            return start_failure { "readinessAddress", m_settings.readinessAddress.toString(),
+                responder.error() };
         m_readiness = std::move(*responder);
         responder = http_responder::create(
             m_context, m_settings.metricsAddress, [this](std::string_view) { return metricsReply(); });
         if (!responder)
-            return start_failure { "metricsAddress", m_settings.metricsAddress.toString(), responder.error() };
+            return start_failure { "metricsAddress", m_settings.metricsAddress.toString(),
+                responder.error() };
         m_metricsServer = std::move(*responder);
         m_addresses.readiness = m_readiness->address();
         m_addresses.metrics = m_metricsServer->address();
@@ -182,14 +185,14 @@
     store_follower_events followerEvents()
     {
         store_follower_events events;
-        events.onUpdates = [this](const std::vector<steering::view_update>& updates) { takeUpdates(updates); };
+        events.onUpdates
+            = [this](const std::vector<steering::view_update>& updates) { takeUpdates(updates); };
         events.onFailed = [this](const char* call, const char* cause, bool isFirst) {
             if (!isFirst)
                 return;
             const std::int64_t age = milliseconds(monotonicNow() - m_follower.answeredAt());
-            post([=, revision = m_view.revision()](event_log& log) {
-                log.write<event::StoreCallFailed>(call, cause, revision, age);
-            });
+            post([=, revision = m_view.revision()](
+                     event_log& log) { log.write<event::StoreCallFailed>(call, cause, revision, age); });
         };
         events.onAnswered = [this](const char* call, core::duration outage, std::uint64_t failedCalls) {
             post([=, revision = m_view.revision()](event_log& log) {
@@ -230,9 +233,8 @@
     {
         const steering::store_change& change = update.change;
         if (const auto* const item = std::get_if<steering::unreadable_item>(&change.content))
-            post([key = change.key.toString(), cause = item->cause, revision = change.revision](event_log& log) {
-                log.write<event::StoreItemUnreadable>(key, cause, revision);
-            });
+            post([key = change.key.toString(), cause = item->cause, revision = change.revision](
+                     event_log& log) { log.write<event::StoreItemUnreadable>(key, cause, revision); });
         if (const auto* const config = std::get_if<steering::routing_config>(&change.content))
             post([version = config->version, revision = change.revision, routes = config->routes.size(),
                      services = config->services.size()](event_log& log) {
@@ -240,7 +242,8 @@
             });
         if (change.key.kind == steering::item_kind::DataCentreOut)
             post([name = change.key.name, revision = change.revision,
-                     isOut = std::holds_alternative<steering::data_centre_out>(change.content)](event_log& log) {
+                     isOut = std::holds_alternative<steering::data_centre_out>(change.content)](
+                     event_log& log) {
                 log.write<event::DataCentreOutChanged>(name, isOut ? "true" : "false", revision);
             });
         if (change.key.kind == steering::item_kind::Server)
@@ -253,8 +256,8 @@
         const steering::server_entry entry = known == nullptr ? steering::server_entry {} : *known;
         post([entry, change = changeOf(update), id = update.change.key.name,
                  revision = update.change.revision](event_log& log) {
-            log.write<event::ServerChanged>(id, change, entry.service, entry.address.toString(), entry.dataCentre,
-                revision, entry.coldFor.count(), entry.startedAtMs);
+            log.write<event::ServerChanged>(id, change, entry.service, entry.address.toString(),
+                entry.dataCentre, revision, entry.coldFor.count(), entry.startedAtMs);
         });
     }
 
@@ -264,7 +267,8 @@
             ? steering::readiness_state::Stopping
             : m_channels.readiness.load(std::memory_order_acquire);
         const bool isReady = state == steering::readiness_state::Ready;
-        return { isReady ? 200U : 503U, "application/json", "{\"state\":\"" + std::string(textOf(state)) + "\"}" };
+        return { isReady ? 200U : 503U, "application/json",
+            "{\"state\":\"" + std::string(textOf(state)) + "\"}" };
     }
 
     http_reply metricsReply()
@@ -276,7 +280,8 @@
     void refreshMetrics()
     {
         const tagged_counters& counters = m_channels.counters;
-        const auto total = [](const relaxed_counter& counter) { return static_cast<double>(counter.value()); };
+        const auto total
+            = [](const relaxed_counter& counter) { return static_cast<double>(counter.value()); };
         m_metrics->raiseTo(metric::PacketsReceived, { "caller" }, total(counters.fromCallers));
         m_metrics->raiseTo(metric::PacketsReceived, { "neighbour" }, total(counters.fromNeighbours));
         m_metrics->raiseTo(metric::PacketsForwarded, {}, total(counters.forwarded));
@@ -291,18 +296,20 @@
         for (const relaxed_counter& counter : counters.malformed)
             malformed += total(counter);
         m_metrics->raiseTo(metric::PacketsDropped, { "malformed" }, malformed);
-        m_metrics->raiseTo(metric::PacketsDropped, { "malformedNeighbour" }, total(counters.malformedNeighbours));
+        m_metrics->raiseTo(
+            metric::PacketsDropped, { "malformedNeighbour" }, total(counters.malformedNeighbours));
         m_metrics->raiseTo(metric::PacketsDropped, { "sendFailed" }, total(counters.sendFailed));
         m_metrics->set(metric::LocalFlows, {}, static_cast<double>(counters.flows.load()));
         m_metrics->set(metric::KnownHosts, {}, static_cast<double>(counters.hosts.load()));
         m_metrics->raiseTo(metric::StoreCalls, {}, static_cast<double>(m_follower.callCount()));
         m_metrics->set(metric::ConfigIndex, {}, static_cast<double>(m_view.revision()));
         m_metrics->raiseTo(metric::RingDropped, { "notes" }, static_cast<double>(m_channels.notes.dropped()));
-        m_metrics->raiseTo(metric::RingDropped, { "logTasks" }, static_cast<double>(m_channels.logTasks.dropped()));
+        m_metrics->raiseTo(
+            metric::RingDropped, { "logTasks" }, static_cast<double>(m_channels.logTasks.dropped()));
         const steering::readiness_state current = m_channels.readiness.load();
-        for (const steering::readiness_state state : { steering::readiness_state::Starting,
-                 steering::readiness_state::Ready, steering::readiness_state::Isolated,
-                 steering::readiness_state::Stopping })
+        for (const steering::readiness_state state :
+            { steering::readiness_state::Starting, steering::readiness_state::Ready,
+                steering::readiness_state::Isolated, steering::readiness_state::Stopping })
             m_metrics->set(metric::Readiness, { textOf(state) }, state == current ? 1 : 0);
     }
 
@@ -329,7 +336,8 @@
         });
     }
 
-    /// A watch that reports nothing while other hosts learn of changes is dead, although its connection stands.
+    /// A watch that reports nothing while other hosts learn of changes is dead, although its connection
+    /// stands.
     void checkLag(core::timestamp now)
     {
         const std::uint64_t others = m_channels.neighbourRevision.load(std::memory_order_relaxed);
@@ -365,14 +373,16 @@
             = text ? parseTaggedSettings(*text) : tl::unexpected(text.error());
         if (!read) {
             const std::string problem = formatProblem(read.error().front(), m_settingsFile);
-            return post([cause, problem](event_log& log) { log.write<event::SettingsRefused>(cause, problem); });
+            return post(
+                [cause, problem](event_log& log) { log.write<event::SettingsRefused>(cause, problem); });
         }
         const bool isChanged = !(*read == m_settings);
         const bool needsRestart = isChanged
             && (read->packetAddress != m_settings.packetAddress || read->peerAddress != m_settings.peerAddress
                 || read->readinessAddress != m_settings.readinessAddress
                 || read->metricsAddress != m_settings.metricsAddress
-                || read->storeAddress != m_settings.storeAddress || read->dataCentre != m_settings.dataCentre);
+                || read->storeAddress != m_settings.storeAddress
+                || read->dataCentre != m_settings.dataCentre);
         const char* const outcome = !isChanged ? "nothing" : needsRestart ? "atNextStart" : "inForce";
         if (isChanged && !needsRestart)
             m_settings.shutdownTimeout = read->shutdownTimeout;
--- a/src/daemon/tagged_log_worker.cpp
+++ b/src/daemon/tagged_log_worker.cpp
@@ -14,7 +14,8 @@
 namespace {
 
     constexpr std::chrono::seconds reportInterval { 1 };
-    // A round ends after so many lines, so that lines of the control thread do not wait behind those on flows.
+    // A round ends after so many lines, so that lines of the control thread do not wait behind those on
+    // flows.
     constexpr std::size_t linesPerRound = 64;
 
     std::int64_t milliseconds(core::duration time)
@@ -25,7 +26,8 @@
     std::string hexadecimal(std::uint64_t number)
     {
         std::array<char, 16> digits {};
-        const std::to_chars_result end = std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
+        const std::to_chars_result end
+            = std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
         return { digits.data(), end.ptr };
     }
 
--- a/src/daemon/tagged_log_worker.hpp
+++ b/src/daemon/tagged_log_worker.hpp
@@ -4,10 +4,10 @@
 #include <cstdint>
 
 #include <shallotcove/core/time.hpp>
+#include <shallotcove/core/token_bucket.hpp>
 #include <shallotcove/daemon/event_log.hpp>
 #include <shallotcove/daemon/metrics.hpp>
 #include <shallotcove/daemon/tagged_channels.hpp>
-#include <shallotcove/core/token_bucket.hpp>
 
 namespace shallotcove::daemon {
 
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -32,15 +32,16 @@
     packet_batch_options callerBatch()
     {
         // One byte more than the largest packet, so that longer ones are seen.
-        return { platform::serverPrefixBytes, platform::packetHeaderBytes + platform::maximumPayloadBytes + 1 };
+        return { platform::serverPrefixBytes,
+            platform::packetHeaderBytes + platform::maximumPayloadBytes + 1 };
     }
 
 } // namespace
 
 class tagged_packet_worker::implementation {
 public:
-    implementation(udp_socket callers, udp_socket neighbours, const wake_signal& wake, tagged_channels& channels,
-        const tagged_packet_options& options)
+    implementation(udp_socket callers, udp_socket neighbours, const wake_signal& wake,
+        tagged_channels& channels, const tagged_packet_options& options)
         : m_callers(std::move(callers))
         , m_neighbours(std::move(neighbours))
         , m_wake(wake)
@@ -209,8 +210,8 @@
             }
             platform::writeServerPrefix(offer.decision.wireId, buffer.first<platform::serverPrefixBytes>());
             platform::writeTag(offer.decision.tag, packet);
-            m_batch.queue(
-                buffer.first(platform::serverPrefixBytes + platform::packetHeaderBytes), offer.decision.server);
+            m_batch.queue(buffer.first(platform::serverPrefixBytes + platform::packetHeaderBytes),
+                offer.decision.server);
             m_channels.counters.forwarded.add();
         }
         m_batch.send(m_callers, m_channels.counters.sendFailed);
@@ -224,8 +225,8 @@
         for (std::size_t index = 0; index < packet_batch::capacity; ++index) {
             sockaddr_storage source {};
             socklen_t length = sizeof source;
-            const ssize_t size = ::recvfrom(m_neighbours.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT,
-                reinterpret_cast<sockaddr*>(&source), &length);
+            const ssize_t size = ::recvfrom(m_neighbours.descriptor(), buffer.data(), buffer.size(),
+                MSG_DONTWAIT, reinterpret_cast<sockaddr*>(&source), &length);
             if (size < 0)
                 return;
             m_channels.counters.fromNeighbours.add();
@@ -300,7 +301,8 @@
         for (const std::string& place : answered)
             m_engine.trustDataCentre(place);
         m_channels.readiness.store(m_readiness.state(), std::memory_order_release);
-        m_channels.notes.push(readiness_change { before, m_readiness.state(), static_cast<int>(100 * share) });
+        m_channels.notes.push(
+            readiness_change { before, m_readiness.state(), static_cast<int>(100 * share) });
     }
 
     void passNotes()
@@ -328,8 +330,8 @@
 
 tagged_packet_worker::tagged_packet_worker(udp_socket callers, udp_socket neighbours, const wake_signal& wake,
     tagged_channels& channels, const tagged_packet_options& options)
-    : m_implementation(std::make_unique<implementation>(
-        std::move(callers), std::move(neighbours), wake, channels, options))
+    : m_implementation(
+        std::make_unique<implementation>(std::move(callers), std::move(neighbours), wake, channels, options))
 {
 }
 
--- a/src/daemon/tagged_packet_worker.hpp
+++ b/src/daemon/tagged_packet_worker.hpp
@@ -17,7 +17,8 @@
     steering::host_directory_options hosts;
 };
 
-/// Owns the sockets of callers and neighbours, and the decisions on packets; all calls come from the packet thread.
+/// Owns the sockets of callers and neighbours, and the decisions on packets; all calls come from the packet
+/// thread.
 class tagged_packet_worker {
 public:
     tagged_packet_worker(udp_socket callers, udp_socket neighbours, const wake_signal&, tagged_channels&,
--- a/src/steering/data_centre_evidence.cpp
+++ b/src/steering/data_centre_evidence.cpp
@@ -11,7 +11,8 @@
 {
     if (std::find(m_silent.begin(), m_silent.end(), server) == m_silent.end())
         m_silent.push_back(server);
-    const double share = static_cast<double>(m_silent.size()) / static_cast<double>(std::max<std::size_t>(1, servers));
+    const double share
+        = static_cast<double>(m_silent.size()) / static_cast<double>(std::max<std::size_t>(1, servers));
     if (m_silent.size() < options.silentServersUntilSuspect || share < options.silentShareUntilSuspect)
         return false;
     return m_evidence.recordUnanswered(now, 1, options);
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -62,7 +62,8 @@
         if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads, now))
             continue;
         outgoing_message next { address, greeting(storeRevision) };
-        // A host that was only heard of does not know this one yet. An urgent question wants an answer at once.
+        // A host that was only heard of does not know this one yet. An urgent question wants an answer at
+        // once.
         next.message.wantsHosts
             = !known.heardAt || (isUrgent && known.dataCentre != m_options.self.dataCentre);
         if (known.dataCentre == m_options.self.dataCentre) {
@@ -79,8 +80,9 @@
         const bool isHeard = known != m_contacts.end() && known->second.heardAt
             && now - *known->second.heardAt < m_options.silence;
         const auto asked = m_seedsAskedAt.find(seed);
-        const bool isTooEarly
-            = asked != m_seedsAskedAt.end() && now - asked->second < (m_contacts.empty() ? m_options.firstSeedInterval : m_options.seedInterval);
+        const bool isTooEarly = asked != m_seedsAskedAt.end()
+            && now - asked->second
+                < (m_contacts.empty() ? m_options.firstSeedInterval : m_options.seedInterval);
         if (seed == m_options.self.address || isHeard || isTooEarly)
             continue;
         m_seedsAskedAt[seed] = now;
@@ -105,7 +107,8 @@
 bool host_directory::wasHeard(const std::string& dataCentre, core::timestamp since) const
 {
     return std::any_of(m_contacts.begin(), m_contacts.end(), [&](const auto& known) {
-        return known.second.dataCentre == dataCentre && known.second.heardAt && *known.second.heardAt >= since;
+        return known.second.dataCentre == dataCentre && known.second.heardAt
+            && *known.second.heardAt >= since;
     });
 }
 
--- a/src/steering/opening_evidence.cpp
+++ b/src/steering/opening_evidence.cpp
@@ -15,7 +15,8 @@
         return false;
     if (!m_isSuspect && m_unanswered < threshold)
         return false;
-    m_suspicion = m_isSuspect ? std::min(2 * m_suspicion, options.longestSuspicion) : options.shortestSuspicion;
+    m_suspicion
+        = m_isSuspect ? std::min(2 * m_suspicion, options.longestSuspicion) : options.shortestSuspicion;
     m_suspectUntil = now + m_suspicion;
     m_isTrialPending = false;
     return !std::exchange(m_isSuspect, true);
--- a/src/steering/placement.cpp
+++ b/src/steering/placement.cpp
@@ -61,8 +61,8 @@
     bool hasRoom(const server_record& server, const placement_context& context)
     {
         const bool isNear = server.entry.dataCentre == context.options.dataCentre;
-        const double perSlot
-            = isNear || server.neighbourFlows > 0 ? context.options.flowsPerSlot : context.options.flowsPerFarSlot;
+        const double perSlot = isNear || server.neighbourFlows > 0 ? context.options.flowsPerSlot
+                                                                   : context.options.flowsPerFarSlot;
         const double expected = server.openFlows + server.neighbourFlows
             + static_cast<double>(server.freshFlows) * static_cast<double>(context.neighbours);
         return expected < perSlot * std::max(1U, server.entry.slots);
--- a/src/steering/readiness.cpp
+++ b/src/steering/readiness.cpp
@@ -29,7 +29,8 @@
     if (!inputs.isInformed)
         return readiness_state::Starting;
     if (m_state == readiness_state::Isolated) {
-        const bool isOver = inputs.canAskOthers ? inputs.othersAnswered : now - m_since >= m_options.blindRetry;
+        const bool isOver
+            = inputs.canAskOthers ? inputs.othersAnswered : now - m_since >= m_options.blindRetry;
         return isOver ? readiness_state::Ready : readiness_state::Isolated;
     }
     const bool isHeld = m_isolatedUntil && now - *m_isolatedUntil < m_options.holdAfterIsolation;
@@ -39,7 +40,8 @@
     }
     if (!std::exchange(m_isSuspecting, true))
         m_suspectingSince = now;
-    return now - m_suspectingSince >= m_options.confirmation ? readiness_state::Isolated : readiness_state::Ready;
+    return now - m_suspectingSince >= m_options.confirmation ? readiness_state::Isolated
+                                                             : readiness_state::Ready;
 }
 
 const char* textOf(readiness_state state)
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -144,7 +144,8 @@
         return refuse(packet, packet_reason::NoServer, {}, now);
     countTraffic(*service, now);
     const placement placed = place(*service, nullptr, *target, true, now);
-    if (placed.failure == packet_reason::Waiting || (placed.server != nullptr && !waitingFor(*service).isEmpty()))
+    if (placed.failure == packet_reason::Waiting
+        || (placed.server != nullptr && !waitingFor(*service).isEmpty()))
         return hold(packet, *target, *service, placed, now);
     return carryOut(placed, packet, *target, now);
 }
@@ -177,8 +178,8 @@
         m_servers.serversOf(service), record != nullptr ? record->offered : none, target, context);
 }
 
-packet_decision steering_engine::hold(const caller_packet& packet, const route& target, const std::string& service,
-    const placement& placed, core::timestamp now)
+packet_decision steering_engine::hold(const caller_packet& packet, const route& target,
+    const std::string& service, const placement& placed, core::timestamp now)
 {
     waiting_flows& waiting = waitingFor(service);
     const core::timestamp sentAt = now - packet.age;
@@ -213,7 +214,8 @@
 {
     double slots = 0;
     for (const server_record* const server : m_servers.serversOf(service)) {
-        if (server->entry.state == server_state::Ready && !m_dataCentresOut.contains(server->entry.dataCentre))
+        if (server->entry.state == server_state::Ready
+            && !m_dataCentresOut.contains(server->entry.dataCentre))
             slots += std::max(1U, server->entry.slots);
     }
     return slots * m_options.flowsPerSlot / static_cast<double>(std::max<std::size_t>(1, m_hostCount));
@@ -235,8 +237,9 @@
         while (const std::optional<waiting_flow> next = waiting.next(now)) {
             const flow_record* const record = m_ledger.find(next->flow);
             const route* const target = findRoute(next->flow);
-            const placement placed
-                = record != nullptr && target != nullptr ? place(service, nullptr, *target, true, now) : placement {};
+            const placement placed = record != nullptr && target != nullptr
+                ? place(service, nullptr, *target, true, now)
+                : placement {};
             if (placed.failure == packet_reason::Waiting)
                 break;
             waiting.remove(next->flow);
@@ -280,8 +283,9 @@
             record->lastPacketAt = now;
             record->opening = packet;
             record->openUntil = now - packet.age + m_options.openingTimeout;
-            record->idleLimit = target.timeout > std::chrono::milliseconds::zero() ? core::duration(target.timeout)
-                                                                                   : m_options.idleFlow;
+            record->idleLimit = target.timeout > std::chrono::milliseconds::zero()
+                ? core::duration(target.timeout)
+                : m_options.idleFlow;
         }
     }
     if (record != nullptr) {
@@ -362,8 +366,8 @@
 void steering_engine::open(const caller_packet& packet, flow_record& record, core::timestamp now)
 {
     record.state = flow_state::Open;
-    // The first acknowledgement carries the tag of the server that it acknowledges, which may have answered after
-    // the flow was offered to the next one.
+    // The first acknowledgement carries the tag of the server that it acknowledges, which may have answered
+    // after the flow was offered to the next one.
     const bool isOffered
         = std::find(record.offered.begin(), record.offered.end(), packet.tag) != record.offered.end();
     server_record* const server = m_servers.find(isOffered ? packet.tag : record.server);
@@ -415,7 +419,8 @@
     const server_record* const server = m_servers.find(record.server);
     if (server == nullptr)
         return;
-    const core::duration usual = m_options.silentServiceTimes * waitingFor(server->entry.service).serviceTime();
+    const core::duration usual
+        = m_options.silentServiceTimes * waitingFor(server->entry.service).serviceTime();
     if (now - record.lastPacketAt >= std::max(usual, m_options.leastSilence))
         release(record);
 }
@@ -439,8 +444,8 @@
         if (record == nullptr || record->state != flow_state::Opening || record->offeredAt != due.offeredAt)
             continue;
         release(*record);
-        // Without its caller, the flow says nothing about the server: it gave up, or moved to another host while its
-        // packet waited here.
+        // Without its caller, the flow says nothing about the server: it gave up, or moved to another host
+        // while its packet waited here.
         if (due.at >= record->openUntil || due.offeredAt - record->lastPacketAt > m_options.freshPacket)
             continue;
         recordUnanswered(record->server, now);
@@ -510,7 +515,8 @@
     const auto out = m_outSince.find(server.entry.dataCentre);
     if (out != m_outSince.end() && now - out->second >= m_options.evacuationGrace)
         return { packet_action::Drop, packet_reason::DataCentreOut, {}, {}, {} };
-    return { packet_action::Forward, packet_reason::None, server.entry.address, server.entry.wireId, server.tag };
+    return { packet_action::Forward, packet_reason::None, server.entry.address, server.entry.wireId,
+        server.tag };
 }
 
 void steering_engine::countTraffic(const std::string& service, core::timestamp now)
--- a/src/steering/waiting_flows.cpp
+++ b/src/steering/waiting_flows.cpp
@@ -34,8 +34,8 @@
 std::vector<waiting_flow> waiting_flows::takeHopeless(core::timestamp now)
 {
     std::vector<waiting_flow> hopeless;
-    const auto first = std::stable_partition(m_flows.begin(), m_flows.end(),
-        [&](const waiting_flow& flow) { return !isHopeless(flow, now); });
+    const auto first = std::stable_partition(
+        m_flows.begin(), m_flows.end(), [&](const waiting_flow& flow) { return !isHopeless(flow, now); });
     std::move(first, m_flows.end(), std::back_inserter(hopeless));
     m_flows.erase(first, m_flows.end());
     return hopeless;
@@ -43,10 +43,8 @@
 
 std::optional<waiting_flow> waiting_flows::next(core::timestamp now) const
 {
-    const auto first = std::min_element(
-        m_flows.begin(), m_flows.end(), [&](const waiting_flow& left, const waiting_flow& right) {
-            return goesBefore(left, right, now);
-        });
+    const auto first = std::min_element(m_flows.begin(), m_flows.end(),
+        [&](const waiting_flow& left, const waiting_flow& right) { return goesBefore(left, right, now); });
     return first == m_flows.end() ? std::nullopt : std::optional(*first);
 }
 
--- /dev/null
+++ b/src/steering/waiting_flows_test.cpp
@@ -0,0 +1,67 @@
+#include <shallotcove/steering/waiting_flows.hpp>
+
+#include <criterion/criterion.h>
+
+#include "steering_fixture.hpp"
+
+using namespace shallotcove::steering;
+using namespace shallotcove::steering::testing;
+
+namespace {
+
+constexpr std::chrono::milliseconds serviceTime { 50 };
+
+waiting_flow waitingFrom(std::uint16_t port, double sent, double arrived, std::uint32_t priority = 1)
+{
+    return { flowOf(port), priority, at(arrived), at(sent + 200), at(sent + 1400), at(sent + 1200) };
+}
+
+} // namespace
+
+// Guards against a backlog that makes callers late who could still be answered in time.
+Test(waiting_flows, timely_flows_go_before_late_ones)
+{
+    waiting_flows waiting(serviceTime);
+    waiting.add(waitingFrom(1, 0, 600, 0));
+    waiting.add(waitingFrom(2, 590, 610));
+    waiting.add(waitingFrom(3, 580, 605));
+    cr_assert(waiting.next(at(620))->flow == flowOf(3));
+    waiting.remove(flowOf(3));
+    cr_assert(waiting.next(at(620))->flow == flowOf(2));
+    // Once all are late, the more important goes first.
+    cr_assert(waiting.next(at(800))->flow == flowOf(1));
+}
+
+// Guards against callers of one kind that keep out a more important one.
+Test(waiting_flows, priority_decides_among_timely_flows)
+{
+    waiting_flows waiting(serviceTime);
+    for (std::uint16_t port = 1; port <= 50; ++port)
+        waiting.add(waitingFrom(port, 0, port * 0.1, 2));
+    waiting.add(waitingFrom(60, 0, 10, 1));
+    cr_assert(waiting.next(at(12))->flow == flowOf(60));
+}
+
+// Guards against requests that wait until their callers have left.
+Test(waiting_flows, hopeless_flows_are_taken_out_in_time)
+{
+    waiting_flows waiting(serviceTime);
+    waiting.add(waitingFrom(1, 0, 0));
+    waiting.add(waitingFrom(2, 500, 500));
+    cr_assert(waiting.takeHopeless(at(1100)).empty());
+    const std::vector<waiting_flow> hopeless = waiting.takeHopeless(at(1151));
+    cr_assert(hopeless.size() == 1 && hopeless[0].flow == flowOf(1) && waiting.size() == 1);
+}
+
+// Guards against a queue that takes flows for which it has no time.
+Test(waiting_flows, flow_behind_too_many_others_cannot_be_served)
+{
+    waiting_flows waiting(serviceTime);
+    for (std::uint16_t port = 1; port <= 100; ++port)
+        waiting.add(waitingFrom(port, 0, 0));
+    const waiting_flow last = waitingFrom(200, 1, 1);
+    cr_assert(waiting.canServe(last, 10, at(1)), "100 flows, 10 at once, 50 ms each: 500 ms");
+    cr_assert(!waiting.canServe(last, 4, at(1)), "4 at once: 1250 ms");
+    // A more important flow goes before them.
+    cr_assert(waiting.canServe(waitingFrom(201, 1, 1, 0), 4, at(1)));
+}
--- a/src/store/key_value_client.cpp
+++ b/src/store/key_value_client.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <shallotcove/store/http_exchange.hpp>
 #include "store_codec.hpp"
 #include "watch_stream.hpp"
+#include <shallotcove/store/http_exchange.hpp>
 
 namespace shallotcove::store {
 
@@ -48,7 +48,8 @@
     {
         exchangeHttp(
             m_context, m_options.address, { boost::beast::http::verb::post, target, std::move(body) },
-            http_timeouts { m_options.requestTimeout, m_options.requestTimeout }, [self = shared_from_this()] { ++self->m_requests; },
+            http_timeouts { m_options.requestTimeout, m_options.requestTimeout },
+            [self = shared_from_this()] { ++self->m_requests; },
             [self = shared_from_this(), deliver = std::move(deliver), parse](
                 const tl::expected<http_answer, http_error>& answer) {
                 if (self->m_isStopped)
--- a/src/store/store_codec_test.cpp
+++ b/src/store/store_codec_test.cpp
@@ -58,8 +58,8 @@
     cr_assert(progress && !progress->isCreated && progress->range.revision == core::config_index { 9 });
     const tl::expected<store::watch_line, store::store_error> events
         = store::parseWatchLine(R"({"result":{"header":{"revision":"9"},"events":[)"
-                                   R"({"kv":{"key":"YQ==","value":"Yg==","mod_revision":"4"}},)"
-                                   R"({"type":"DELETE","kv":{"key":"Yw==","mod_revision":"6"}}]}})");
+                                R"({"kv":{"key":"YQ==","value":"Yg==","mod_revision":"4"}},)"
+                                R"({"type":"DELETE","kv":{"key":"Yw==","mod_revision":"6"}}]}})");
     const store::store_range expected { { { "a", { 4 }, false, "b" }, { "c", { 6 }, true, "" } }, { 6 } };
     cr_assert(events && events->range == expected);
     const std::array<bad_answer, 6> lines { {
@@ -72,8 +72,7 @@
         { 200, "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[", ProtocolError },
     } };
     for (const bad_answer& line : lines) {
-        const tl::expected<store::watch_line, store::store_error> parsed
-            = store::parseWatchLine(line.body);
+        const tl::expected<store::watch_line, store::store_error> parsed = store::parseWatchLine(line.body);
         cr_assert(!parsed && parsed.error() == line.error, "%s", line.body);
     }
 }
--- a/src/testbench/caller_standin_main.cpp
+++ b/src/testbench/caller_standin_main.cpp
@@ -7,8 +7,8 @@
 
 #include <gflags/gflags.h>
 
-#include <shallotcove/store/json_text.hpp>
 #include "program.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 DEFINE_string(settings, "", "JSON file with groups and services");
 DEFINE_string(fabric, "", "UDP address of the fabric");
--- a/src/testbench/store_standin.cpp
+++ b/src/testbench/store_standin.cpp
@@ -9,8 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "http_server.hpp"
-#include <shallotcove/store/json_text.hpp>
 #include "store_api.hpp"
+#include <shallotcove/store/json_text.hpp>
 
 namespace shallotcove::testbench {
 
--- a/src/wire/neighbour_codec.cpp
+++ b/src/wire/neighbour_codec.cpp
@@ -14,36 +14,48 @@
     constexpr std::uint8_t formatVersion = 1;
     constexpr std::size_t maximumDataCentreBytes = 64;
     constexpr std::size_t maximumHosts = 64;
-    // 64 hosts with short names and 100 loads of at most 8 bytes stay below the size of a message.
     constexpr std::size_t maximumLoads = 100;
     // Message, then an array of hosts or loads, flattened.
     constexpr std::size_t maximumDepth = 3;
     constexpr std::size_t maximumElements = 2 * std::max(maximumHosts, maximumLoads);
 
+    std::vector<std::byte> encode(
+        const steering::neighbour_message& message, std::size_t hosts, std::size_t loads)
+    {
+        peer_buffer buffer;
+        msgpack::packer<peer_buffer> packer(buffer);
+        packer.pack_array(6);
+        packer.pack(formatVersion);
+        packer.pack(message.dataCentre.substr(0, maximumDataCentreBytes));
+        packer.pack(message.storeRevision);
+        packer.pack(message.wantsHosts);
+        packer.pack_array(static_cast<std::uint32_t>(2 * hosts));
+        for (std::size_t index = 0; index < hosts; ++index) {
+            packer.pack(message.hosts[index].address);
+            packer.pack(message.hosts[index].dataCentre.substr(0, maximumDataCentreBytes));
+        }
+        packer.pack_array(static_cast<std::uint32_t>(2 * loads));
+        for (std::size_t index = 0; index < loads; ++index) {
+            packer.pack(message.loads[index].server.value);
+            packer.pack(message.loads[index].openFlows);
+        }
+        return std::move(buffer).take();
+    }
+
 } // namespace
 
 std::vector<std::byte> encodeNeighbourMessage(const steering::neighbour_message& message)
 {
-    peer_buffer buffer;
-    msgpack::packer<peer_buffer> packer(buffer);
-    const std::size_t hosts = std::min(message.hosts.size(), maximumHosts);
-    const std::size_t loads = std::min(message.loads.size(), maximumLoads);
-    packer.pack_array(6);
-    packer.pack(formatVersion);
-    packer.pack(message.dataCentre.substr(0, maximumDataCentreBytes));
-    packer.pack(message.storeRevision);
-    packer.pack(message.wantsHosts);
-    packer.pack_array(static_cast<std::uint32_t>(2 * hosts));
-    for (std::size_t index = 0; index < hosts; ++index) {
-        packer.pack(message.hosts[index].address);
-        packer.pack(message.hosts[index].dataCentre.substr(0, maximumDataCentreBytes));
-    }
-    packer.pack_array(static_cast<std::uint32_t>(2 * loads));
-    for (std::size_t index = 0; index < loads; ++index) {
-        packer.pack(message.loads[index].server.value);
-        packer.pack(message.loads[index].openFlows);
+    std::size_t hosts = std::min(message.hosts.size(), maximumHosts);
+    std::size_t loads = std::min(message.loads.size(), maximumLoads);
+    std::vector<std::byte> bytes = encode(message, hosts, loads);
+    // Hosts that are left out now are told of in a later answer.
+    while (bytes.size() > maximumNeighbourBytes) {
+        hosts /= 2;
+        loads = hosts == 0 ? loads / 2 : loads;
+        bytes = encode(message, hosts, loads);
     }
-    return std::move(buffer).take();
+    return bytes;
 }
 
 std::optional<steering::neighbour_message> decodeNeighbourMessage(std::span<const std::byte> bytes)
