Let two hosts of a large data centre watch the store for the others

Change: from six hosts in a data centre on, the first two watch with short waits; the others read changes from them when a neighbour's message names a newer revision, and watch themselves when no fresh relay is heard, or a revision that others know stays unknown for 1.4 s. Messages between data centres go to three hosts of each.

--- a/include/shallotcove/daemon/tagged_channels.hpp
+++ b/include/shallotcove/daemon/tagged_channels.hpp
@@ -65,6 +65,14 @@
     std::atomic<steering::readiness_state> readiness { steering::readiness_state::Starting };
     /// Monotonic time of the last packet of a caller, in nanoseconds.
     std::atomic<std::int64_t> lastCallerPacket { 0 };
+    /// Where the control thread has to learn of changes of the store.
+    std::atomic<bool> shouldWatch { true };
+    std::atomic<bool> isRelay { false };
+    std::atomic<std::uint32_t> relay { 0 };
+    std::atomic<std::uint64_t> relayRevision { 0 };
+    /// Whether the control thread watches the store, and the monotonic time of the last answer in nanoseconds.
+    std::atomic<bool> isWatching { true };
+    std::atomic<std::int64_t> answeredAt { 0 };
     /// Highest revision of the store that other hosts told of.
     std::atomic<std::uint64_t> neighbourRevision { 0 };
     std::atomic<bool> isStopping { false };
--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -27,6 +27,8 @@
     core::duration idleInterval { std::chrono::milliseconds { 200 } };
     /// Interval between data centres, whose links are priced.
     core::duration farInterval { std::chrono::milliseconds { 2000 } };
+    /// Hosts of each other data centre that get messages, so that their number does not grow with the fleet.
+    std::size_t farContacts { 3 };
     /// The same while this host needs to know which data centres it can reach.
     core::duration urgentFarInterval { std::chrono::milliseconds { 250 } };
     core::duration seedInterval { std::chrono::milliseconds { 1000 } };
@@ -35,10 +37,36 @@
     /// A silent host gets messages this long, and is counted among all hosts for the longer time.
     /// A host that was heard within this time is taken to be serving; a few intervals of messages.
     core::duration recentlyHeard { std::chrono::milliseconds { 1000 } };
+    /// From so many hosts in a data centre on, only the first few watch the store and the others ask them. With
+    /// fewer hosts, the shorter waits of those that others rely on cost more calls than they save.
+    std::size_t hostsForRelays { 6 };
+    std::size_t relays { 2 };
+    /// A relay that the store did not answer for so long is not relied on: its wait for changes, and an answer.
+    core::duration longestRelayAge { std::chrono::milliseconds { 2200 } };
     core::duration silence { std::chrono::seconds { 10 } };
     core::duration memory { std::chrono::seconds { 120 } };
 };
 
+/// What this host tells others of its view of the store.
+struct view_report {
+    std::uint64_t revision {};
+    bool isWatching {};
+    core::timestamp answeredAt;
+};
+
+/// Where this host learns of changes of the store.
+struct watch_duty {
+    /// It watches the store itself.
+    bool shouldWatch { true };
+    /// Others rely on it.
+    bool isRelay {};
+    /// Otherwise: a host that watches, and what it knows.
+    std::uint32_t relay {};
+    std::uint64_t relayRevision {};
+
+    friend bool operator==(const watch_duty&, const watch_duty&) = default;
+};
+
 struct outgoing_message {
     std::uint32_t to {};
     neighbour_message message;
@@ -54,9 +82,9 @@
 
     /// The answer, if the message asks for one.
     std::optional<outgoing_message> handle(
-        std::uint32_t from, const neighbour_message&, std::uint64_t storeRevision, core::timestamp now);
+        std::uint32_t from, const neighbour_message&, const view_report&, core::timestamp now);
     std::vector<outgoing_message> advance(
-        const load_report&, std::uint64_t storeRevision, bool isUrgent, core::timestamp now);
+        const load_report&, const view_report&, bool isUrgent, core::timestamp now);
     /// Whether the set of known hosts changed since the last call.
     bool takeChanged();
 
@@ -69,6 +97,8 @@
     bool knowsHostsIn(const std::string& dataCentre) const;
     /// Other hosts of this data centre that were heard not long ago.
     std::size_t neighbourCount(core::timestamp now) const;
+    /// Whether this host has to watch the store, or which neighbour does.
+    watch_duty duty(core::timestamp now) const;
     /// The highest revision of the store that a host told of.
     std::uint64_t highestRevision() const { return m_highestRevision; }
 
@@ -78,11 +108,17 @@
         std::optional<core::timestamp> heardAt;
         std::optional<core::timestamp> sentAt;
         core::timestamp knownSince;
+        std::uint64_t storeRevision {};
+        bool isWatching {};
+        core::duration viewAge {};
     };
 
-    neighbour_message greeting(std::uint64_t storeRevision) const;
+    neighbour_message greeting(const view_report&, core::timestamp now) const;
+    bool isRecent(const contact&, core::timestamp now) const;
     core::duration intervalOf(const contact&, bool isUrgent, bool hasNewLoads, core::timestamp now) const;
     void learn(const known_host&, core::timestamp now);
+    /// Whether the host of another data centre is one of those that this host exchanges messages with.
+    bool isFarContact(std::uint32_t address, const contact&, core::timestamp now) const;
 
     host_directory_options m_options;
     std::map<std::uint32_t, contact> m_contacts;
--- a/include/shallotcove/steering/neighbour_message.hpp
+++ b/include/shallotcove/steering/neighbour_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +23,9 @@
     std::string dataCentre;
     /// Revision of the store that the sender knows everything up to.
     std::uint64_t storeRevision {};
+    /// Whether the sender watches the store itself, and how long ago the store answered it last.
+    bool isWatching {};
+    std::chrono::milliseconds viewAge {};
     /// Asks for the hosts that the receiver knows.
     bool wantsHosts {};
     std::vector<known_host> hosts;
--- a/include/shallotcove/steering/store_view.hpp
+++ b/include/shallotcove/steering/store_view.hpp
@@ -44,6 +44,8 @@
     /// The store did not answer, or refused.
     void recordTrouble(core::timestamp now) { m_troubleAt = now; }
 
+    /// The latest change of each item after a revision, in the order of their revisions.
+    std::vector<store_change> changesSince(std::uint64_t revision) const;
     /// Revision up to which everything is known.
     std::uint64_t revision() const { return m_revision; }
     std::uint64_t configVersion() const { return m_configVersion; }
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -1,6 +1,8 @@
 #include "store_follower.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <span>
 #include <optional>
 
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +12,7 @@
 
 #include <shallotcove/daemon/clock.hpp>
 #include <shallotcove/store/http_exchange.hpp>
+#include <shallotcove/wire/view_codec.hpp>
 
 namespace shallotcove::daemon {
 
@@ -45,9 +48,28 @@
 
     constexpr const char* rangeCall = "range";
     constexpr const char* watchCall = "watch";
+    constexpr std::string_view changesPath = "/changes?after=";
 
 } // namespace
 
+std::string changesTarget(std::uint64_t afterRevision)
+{
+    return std::string(changesPath) + std::to_string(afterRevision);
+}
+
+std::optional<std::string> answerChanges(const steering::store_view& view, std::string_view target)
+{
+    if (!target.starts_with(changesPath))
+        return std::nullopt;
+    const std::string_view digits = target.substr(changesPath.size());
+    std::uint64_t after = 0;
+    const std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), after);
+    if (parsed.ec != std::errc {} || parsed.ptr != digits.data() + digits.size())
+        return std::nullopt;
+    const std::vector<std::byte> bytes = wire::encodeChanges({ view.revision(), view.changesSince(after) });
+    return std::string(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+}
+
 class store_follower::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(boost::asio::io_context& context, const store_follower_options& options,
@@ -58,6 +80,7 @@
         , m_view(view)
         , m_events(std::move(events))
         , m_random(options.randomSeed)
+        , m_watchWait(options.watchWait)
     {
     }
 
@@ -68,6 +91,35 @@
         readPage("");
     }
 
+    void resume(std::chrono::milliseconds wait)
+    {
+        m_watchWait = wait;
+        if (!m_isResting)
+            return;
+        m_isResting = false;
+        watch();
+    }
+
+    void rest()
+    {
+        // A call that has failed, or a listing, is brought to its end first.
+        if (m_isResting || !m_isWatching || m_failedCalls > 0)
+            return;
+        m_isResting = true;
+        m_isWatching = false;
+        stop();
+    }
+
+    void fetch(const core::socket_address& relay)
+    {
+        if (std::exchange(m_isFetching, true))
+            return;
+        store::exchangeHttp(
+            m_context, relay, { boost::beast::http::verb::get, changesTarget(m_view.revision()), {} },
+            { m_options.answerTimeout, m_options.connectTimeout }, [] {},
+            [self = shared_from_this(), relay](const answer& result) { self->handleFetched(relay, result); });
+    }
+
     void restart()
     {
         if (!m_isWatching)
@@ -88,6 +140,29 @@
 private:
     using answer = tl::expected<store::http_answer, store::http_error>;
 
+    void handleFetched(const core::socket_address& relay, const answer& result)
+    {
+        m_isFetching = false;
+        std::optional<wire::passed_changes> passed;
+        if (result && result->status == 200)
+            passed = wire::decodeChanges(std::as_bytes(std::span { result->body }));
+        m_events.onFetched(relay, passed.has_value());
+        if (passed)
+            take(std::move(passed->changes), passed->revision);
+    }
+
+    void take(std::vector<steering::store_change> changes, std::uint64_t revision)
+    {
+        std::vector<steering::view_update> updates;
+        const core::timestamp now = monotonicNow();
+        for (steering::store_change& change : changes) {
+            if (std::optional<steering::view_update> update = m_view.apply(std::move(change), now))
+                updates.push_back(std::move(*update));
+        }
+        m_view.advanceTo(revision);
+        publish(updates);
+    }
+
     /// Sends a call; answers to calls before the latest are ignored.
     void call(const std::string& target, std::chrono::milliseconds wait,
         void (implementation::*handle)(const answer&))
@@ -135,7 +210,7 @@
     void watch()
     {
         m_isWatching = true;
-        const std::chrono::milliseconds wait = m_needsProbe ? m_options.probeWait : m_options.watchWait;
+        const std::chrono::milliseconds wait = m_needsProbe ? m_options.probeWait : m_watchWait;
         call(platform::watchTarget(m_options.prefix, m_view.revision(), wait), wait,
             &implementation::handleWatch);
     }
@@ -156,13 +231,7 @@
             return failed(watchCall, textOf(changes.error()));
         answered(watchCall);
         m_needsProbe = false;
-        std::vector<steering::view_update> updates;
-        for (steering::store_change& change : changes->changes) {
-            if (std::optional<steering::view_update> update = m_view.apply(std::move(change), m_answeredAt))
-                updates.push_back(std::move(*update));
-        }
-        m_view.advanceTo(changes->revision);
-        publish(updates);
+        take(std::move(changes->changes), changes->revision);
         const core::duration early = m_options.leastInterval - (m_answeredAt - m_calledAt);
         if (early <= core::duration::zero())
             return watch();
@@ -222,6 +291,9 @@
     core::timestamp m_answeredAt;
     core::timestamp m_calledAt;
     std::chrono::milliseconds m_backoff {};
+    std::chrono::milliseconds m_watchWait;
+    bool m_isResting {};
+    bool m_isFetching {};
     bool m_needsProbe {};
     bool m_isWatching {};
 };
@@ -238,6 +310,12 @@
 
 void store_follower::restart() { m_implementation->restart(); }
 
+void store_follower::watch(std::chrono::milliseconds wait) { m_implementation->resume(wait); }
+
+void store_follower::rest() { m_implementation->rest(); }
+
+void store_follower::fetch(const core::socket_address& relay) { m_implementation->fetch(relay); }
+
 std::uint64_t store_follower::callCount() const { return m_implementation->callCount(); }
 
 core::timestamp store_follower::answeredAt() const { return m_implementation->answeredAt(); }
--- a/src/daemon/store_follower.hpp
+++ b/src/daemon/store_follower.hpp
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +27,8 @@
     /// How long a watch waits for changes. A store that goes silent is found out at its end, well within the
     /// time that hosts have to apply changes after such trouble.
     std::chrono::milliseconds watchWait { 3200 };
+    /// The same for a host that others rely on: they hear within it that the store is out of its reach.
+    std::chrono::milliseconds relayWait { 1200 };
     /// The same after a failed call, until one is answered.
     std::chrono::milliseconds probeWait { 300 };
     /// Time for an answer, besides the wait of a watch. The store answers in milliseconds; when it is slow,
@@ -47,8 +51,15 @@
     std::function<void(const char* call, core::duration outage, std::uint64_t failedCalls)> onAnswered;
     std::function<void()> onHistoryDropped;
     std::function<void(std::uint64_t listingRevision)> onListingIgnored;
+    /// Changes came from another host, or could not be had from it.
+    std::function<void(const core::socket_address& relay, bool isAnswered)> onFetched;
 };
 
+/// Where a host asks another one for changes after a revision.
+std::string changesTarget(std::uint64_t afterRevision);
+/// Answers such a question from a view; nothing for another target.
+std::optional<std::string> answerChanges(const steering::store_view&, std::string_view target);
+
 /// Keeps a view of the store up to date: reads all items once, then watches from that revision on.
 class store_follower {
 public:
@@ -59,6 +70,12 @@
     void start();
     /// Other hosts know more than the view: gives up the call that is waiting and asks again.
     void restart();
+    /// Begins to watch the store again; waits so long for changes from then on.
+    void watch(std::chrono::milliseconds wait);
+    /// Leaves the store alone: another host watches it and tells of changes.
+    void rest();
+    /// Reads the changes that another host knows, unless it is being asked already.
+    void fetch(const core::socket_address& relay);
 
     std::uint64_t callCount() const;
     /// Time of the last answer.
--- a/src/daemon/tagged_host.cpp
+++ b/src/daemon/tagged_host.cpp
@@ -39,8 +39,11 @@
     constexpr std::chrono::milliseconds leastShutdown { 1200 };
     /// Without a packet for this long, the routers have taken the host out.
     constexpr std::chrono::milliseconds quietBeforeEnd { 300 };
-    /// Other hosts know more of the store for so long: the watch of this host is dead.
-    constexpr std::chrono::milliseconds longestLag { 400 };
+    /// What other hosts know of the store is not known here for so long: the watch of this host is dead. Longer than
+    /// the pause between two watches.
+    constexpr std::chrono::milliseconds longestLag { 1400 };
+    /// After that a host watches the store itself for so long.
+    constexpr std::chrono::milliseconds ownWatch { 3000 };
 
     std::int64_t milliseconds(core::duration time)
     {
@@ -125,6 +128,11 @@
             return start_failure { "metricsAddress", m_settings.metricsAddress.toString(),
                 responder.error() };
         m_metricsServer = std::move(*responder);
+        responder = http_responder::create(
+            m_context, m_addresses.peers, [this](std::string_view target) { return changesReply(target); });
+        if (!responder)
+            return start_failure { "peerAddress", m_settings.peerAddress.toString(), responder.error() };
+        m_changesServer = std::move(*responder);
         m_addresses.readiness = m_readiness->address();
         m_addresses.metrics = m_metricsServer->address();
         m_packets = std::make_unique<tagged_packet_worker>(
@@ -207,6 +215,11 @@
             post([=, revision = m_view.revision()](
                      event_log& log) { log.write<event::StoreListingIgnored>(listingRevision, revision); });
         };
+        events.onFetched = [this](const core::socket_address& relay, bool isAnswered) {
+            post([relay, isAnswered, revision = m_view.revision()](event_log& log) {
+                log.write<event::ChangesFetched>(relay.toString(), isAnswered ? "answered" : "failed", revision);
+            });
+        };
         return events;
     }
 
@@ -271,6 +284,14 @@
             "{\"state\":\"" + std::string(textOf(state)) + "\"}" };
     }
 
+    http_reply changesReply(std::string_view target) const
+    {
+        const std::optional<std::string> body = m_view.isComplete() ? answerChanges(m_view, target) : std::nullopt;
+        if (!body)
+            return { 404, "text/plain", "no such page, or nothing known yet\n" };
+        return { 200, "application/msgpack", *body };
+    }
+
     http_reply metricsReply()
     {
         refreshMetrics();
@@ -317,6 +338,7 @@
     {
         const core::timestamp now = monotonicNow();
         passPending();
+        followDuty();
         checkLag(now);
         if (now >= m_nextSettingsCheck) {
             m_nextSettingsCheck = now + settingsInterval;
@@ -336,20 +358,42 @@
         });
     }
 
+    /// Watches the store, or learns from the neighbour that does.
+    void followDuty()
+    {
+        const store_follower_options options;
+        const bool shouldWatch = !m_view.isComplete() || monotonicNow() < m_watchUntil
+            || m_channels.shouldWatch.load(std::memory_order_acquire);
+        if (std::exchange(m_isWatchingStore, shouldWatch) != shouldWatch)
+            post([shouldWatch, relay = m_channels.relay.load(), revision = m_view.revision()](event_log& log) {
+                log.write<event::WatchDutyChanged>(shouldWatch ? "store" : "neighbour",
+                    core::ip_address::fromV4(relay).toString(), revision);
+            });
+        if (shouldWatch)
+            m_follower.watch(m_channels.isRelay.load() ? options.relayWait : options.watchWait);
+        else
+            m_follower.rest();
+        m_channels.isWatching.store(shouldWatch, std::memory_order_relaxed);
+        m_channels.answeredAt.store(m_follower.answeredAt().sinceStart.count(), std::memory_order_relaxed);
+        if (!shouldWatch && m_channels.relayRevision.load() > m_view.revision())
+            m_follower.fetch(
+                { core::ip_address::fromV4(m_channels.relay.load()), m_addresses.peers.port });
+    }
+
     /// A watch that reports nothing while other hosts learn of changes is dead, although its connection
     /// stands.
     void checkLag(core::timestamp now)
     {
         const std::uint64_t others = m_channels.neighbourRevision.load(std::memory_order_relaxed);
-        if (!m_view.isComplete() || others <= m_view.revision()) {
-            m_isBehindSince.reset();
-            return;
+        if (!m_view.isComplete() || m_awaitedRevision <= m_view.revision()) {
+            m_awaitedRevision = others;
+            m_awaitedSince = now;
         }
-        if (!m_isBehindSince)
-            m_isBehindSince = now;
-        if (now - *m_isBehindSince < longestLag)
+        if (m_awaitedRevision <= m_view.revision() || now - m_awaitedSince < longestLag)
             return;
-        m_isBehindSince.reset();
+        m_awaitedSince = now;
+        // The neighbour that was relied on did not help either.
+        m_watchUntil = now + ownWatch;
         m_follower.restart();
     }
 
@@ -438,13 +482,19 @@
     store_follower m_follower;
     std::unique_ptr<http_responder> m_readiness;
     std::unique_ptr<http_responder> m_metricsServer;
+    /// Passes changes of the store on to neighbours.
+    std::unique_ptr<http_responder> m_changesServer;
     std::unique_ptr<tagged_packet_worker> m_packets;
     tagged_host_addresses m_addresses;
     std::deque<knowledge_update> m_pending;
     std::int64_t m_settingsStamp {};
     core::timestamp m_nextSettingsCheck;
     std::uint64_t m_hostsLogged {};
-    std::optional<core::timestamp> m_isBehindSince;
+    bool m_isWatchingStore { true };
+    core::timestamp m_watchUntil;
+    /// A revision that another host told of, and since when it is not known here.
+    std::uint64_t m_awaitedRevision {};
+    core::timestamp m_awaitedSince;
     std::optional<core::timestamp> m_shutdownBegan;
 };
 
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -246,7 +246,7 @@
         if (message.dataCentre == m_options.steering.dataCentre)
             m_engine.applyNeighbourLoads(from, message.loads, now);
         if (const std::optional<steering::outgoing_message> answer
-            = m_hosts.handle(from, message, m_view.revision, now))
+            = m_hosts.handle(from, message, viewReport(), now))
             send(*answer);
         m_channels.neighbourRevision.store(m_hosts.highestRevision(), std::memory_order_relaxed);
     }
@@ -265,9 +265,10 @@
     {
         m_nextExchange = now + m_options.steering.exchangeInterval;
         updateReadiness(now);
+        publishDuty(now);
         const bool isUrgent = m_readiness.state() == steering::readiness_state::Isolated;
         for (const steering::outgoing_message& outgoing :
-            m_hosts.advance(m_engine.takeLoads(), m_view.revision, isUrgent, now))
+            m_hosts.advance(m_engine.takeLoads(), viewReport(), isUrgent, now))
             send(outgoing);
         const std::size_t neighbours = m_hosts.neighbourCount(now);
         if (m_hosts.takeChanged() || neighbours != m_neighbourCount) {
@@ -279,6 +280,21 @@
         m_channels.counters.flows.store(m_engine.flowCount(), std::memory_order_relaxed);
     }
 
+    steering::view_report viewReport() const
+    {
+        return { m_view.revision, m_channels.isWatching.load(std::memory_order_relaxed),
+            { core::duration { m_channels.answeredAt.load(std::memory_order_relaxed) } } };
+    }
+
+    void publishDuty(core::timestamp now)
+    {
+        const steering::watch_duty duty = m_hosts.duty(now);
+        m_channels.relay.store(duty.relay, std::memory_order_relaxed);
+        m_channels.relayRevision.store(duty.relayRevision, std::memory_order_relaxed);
+        m_channels.isRelay.store(duty.isRelay, std::memory_order_relaxed);
+        m_channels.shouldWatch.store(duty.shouldWatch, std::memory_order_release);
+    }
+
     void updateReadiness(core::timestamp now)
     {
         const steering::readiness_state before = m_readiness.state();
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace shallotcove::steering {
 
 namespace {
@@ -20,7 +22,7 @@
 }
 
 std::optional<outgoing_message> host_directory::handle(
-    std::uint32_t from, const neighbour_message& message, std::uint64_t storeRevision, core::timestamp now)
+    std::uint32_t from, const neighbour_message& message, const view_report& view, core::timestamp now)
 {
     if (from == m_options.self.address)
         return std::nullopt;
@@ -31,12 +33,15 @@
     contact& sender = known->second;
     sender.heardAt = now;
     sender.dataCentre = message.dataCentre;
+    sender.storeRevision = message.storeRevision;
+    sender.isWatching = message.isWatching;
+    sender.viewAge = message.viewAge;
     m_highestRevision = std::max(m_highestRevision, message.storeRevision);
     for (const known_host& host : message.hosts)
         learn(host, now);
     if (!message.wantsHosts)
         return std::nullopt;
-    outgoing_message answer { from, greeting(storeRevision) };
+    outgoing_message answer { from, greeting(view, now) };
     for (const auto& [address, other] : m_contacts) {
         const bool isAlive = other.heardAt && now - *other.heardAt < m_options.silence;
         if (address != from && isAlive && answer.message.hosts.size() < maximumHostsPerMessage)
@@ -46,7 +51,7 @@
 }
 
 std::vector<outgoing_message> host_directory::advance(
-    const load_report& loads, std::uint64_t storeRevision, bool isUrgent, core::timestamp now)
+    const load_report& loads, const view_report& view, bool isUrgent, core::timestamp now)
 {
     std::vector<outgoing_message> messages;
     const std::size_t before = m_contacts.size();
@@ -59,9 +64,11 @@
     for (auto& [address, known] : m_contacts) {
         if (now - known.heardAt.value_or(known.knownSince) >= m_options.silence)
             continue;
+        if (known.dataCentre != m_options.self.dataCentre && !isFarContact(address, known, now))
+            continue;
         if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads, now))
             continue;
-        outgoing_message next { address, greeting(storeRevision) };
+        outgoing_message next { address, greeting(view, now) };
         // A host that was only heard of does not know this one yet. An urgent question wants an answer at
         // once.
         next.message.wantsHosts
@@ -86,7 +93,7 @@
         if (seed == m_options.self.address || isHeard || isTooEarly)
             continue;
         m_seedsAskedAt[seed] = now;
-        outgoing_message question { seed, greeting(storeRevision) };
+        outgoing_message question { seed, greeting(view, now) };
         question.message.wantsHosts = true;
         messages.push_back(std::move(question));
     }
@@ -118,14 +125,42 @@
         [&](const auto& known) { return known.second.dataCentre == dataCentre && known.second.heardAt; });
 }
 
-neighbour_message host_directory::greeting(std::uint64_t storeRevision) const
+neighbour_message host_directory::greeting(const view_report& view, core::timestamp now) const
 {
     neighbour_message message;
     message.dataCentre = m_options.self.dataCentre;
-    message.storeRevision = storeRevision;
+    message.storeRevision = view.revision;
+    message.isWatching = view.isWatching;
+    message.viewAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(now - view.answeredAt, core::duration::zero()));
     return message;
 }
 
+bool host_directory::isRecent(const contact& known, core::timestamp now) const
+{
+    return known.dataCentre == m_options.self.dataCentre && known.heardAt
+        && now - *known.heardAt < m_options.recentlyHeard;
+}
+
+watch_duty host_directory::duty(core::timestamp now) const
+{
+    if (neighbourCount(now) + 1 < m_options.hostsForRelays)
+        return {};
+    const std::size_t before = static_cast<std::size_t>(std::count_if(
+        m_contacts.begin(), m_contacts.lower_bound(m_options.self.address),
+        [this, now](const auto& known) { return isRecent(known.second, now); }));
+    if (before < m_options.relays)
+        return { true, true, 0, 0 };
+    watch_duty result;
+    for (const auto& [address, known] : m_contacts) {
+        const bool isFresh = isRecent(known, now) && known.isWatching
+            && known.viewAge + (now - *known.heardAt) <= m_options.longestRelayAge;
+        if (isFresh && (result.shouldWatch || known.storeRevision > result.relayRevision))
+            result = { false, false, address, known.storeRevision };
+    }
+    return result;
+}
+
 core::duration host_directory::intervalOf(
     const contact& known, bool isUrgent, bool hasNewLoads, core::timestamp now) const
 {
@@ -144,11 +179,26 @@
 {
     return static_cast<std::size_t>(
         std::count_if(m_contacts.begin(), m_contacts.end(), [this, now](const auto& known) {
-            return known.second.dataCentre == m_options.self.dataCentre && known.second.heardAt
-                && now - *known.second.heardAt < m_options.recentlyHeard;
+            return isRecent(known.second, now);
         }));
 }
 
+bool host_directory::isFarContact(std::uint32_t address, const contact& known, core::timestamp now) const
+{
+    // Each host has others, so that the messages to a data centre are spread over its hosts.
+    const auto rankOf = [this](std::uint32_t other) {
+        const std::uint32_t parts[] { m_options.self.address, other };
+        return XXH64(parts, sizeof parts, 0);
+    };
+    const std::uint64_t rank = rankOf(address);
+    std::size_t before = 0;
+    for (const auto& [other, contact] : m_contacts) {
+        const bool isAlive = now - contact.heardAt.value_or(contact.knownSince) < m_options.silence;
+        before += contact.dataCentre == known.dataCentre && isAlive && rankOf(other) < rank ? 1 : 0;
+    }
+    return before < m_options.farContacts;
+}
+
 void host_directory::learn(const known_host& host, core::timestamp now)
 {
     if (host.address == m_options.self.address
--- a/src/steering/store_view.cpp
+++ b/src/steering/store_view.cpp
@@ -79,6 +79,18 @@
     return updates;
 }
 
+std::vector<store_change> store_view::changesSince(std::uint64_t revision) const
+{
+    std::vector<store_change> changes;
+    for (const auto& [key, known] : m_items) {
+        if (known.revision > revision)
+            changes.push_back({ key, known.revision, known.content });
+    }
+    std::sort(changes.begin(), changes.end(),
+        [](const store_change& left, const store_change& right) { return left.revision < right.revision; });
+    return changes;
+}
+
 bool store_view::isDoubtful(const known_item& former, core::timestamp now) const
 {
     return std::holds_alternative<server_entry>(former.content) && m_troubleAt
--- a/src/wire/array_reader.cpp
+++ b/src/wire/array_reader.cpp
@@ -2,6 +2,7 @@
 #include "peer_reader.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotcove::wire {
 
@@ -51,6 +52,19 @@
     return m_isGood && element->via.boolean;
 }
 
+double array_reader::readReal()
+{
+    const msgpack::object* const element = next();
+    if (element == nullptr)
+        return 0;
+    const bool isReal = element->type == msgpack::type::FLOAT64 || element->type == msgpack::type::FLOAT32;
+    if (!isReal || !std::isfinite(element->via.f64)) {
+        m_isGood = false;
+        return 0;
+    }
+    return element->via.f64;
+}
+
 std::string array_reader::readText(std::size_t maximumBytes)
 {
     const msgpack::object* const element = next();
--- a/src/wire/neighbour_codec.cpp
+++ b/src/wire/neighbour_codec.cpp
@@ -12,6 +12,8 @@
 namespace {
 
     constexpr std::uint8_t formatVersion = 1;
+    // A day; a view that old is as good as none.
+    constexpr std::uint64_t maximumAgeMs = 24ULL * 3600 * 1000;
     constexpr std::size_t maximumDataCentreBytes = 64;
     constexpr std::size_t maximumHosts = 64;
     constexpr std::size_t maximumLoads = 100;
@@ -24,10 +26,12 @@
     {
         peer_buffer buffer;
         msgpack::packer<peer_buffer> packer(buffer);
-        packer.pack_array(6);
+        packer.pack_array(8);
         packer.pack(formatVersion);
         packer.pack(message.dataCentre.substr(0, maximumDataCentreBytes));
         packer.pack(message.storeRevision);
+        packer.pack(message.isWatching);
+        packer.pack(std::min(static_cast<std::uint64_t>(message.viewAge.count()), maximumAgeMs));
         packer.pack(message.wantsHosts);
         packer.pack_array(static_cast<std::uint32_t>(2 * hosts));
         for (std::size_t index = 0; index < hosts; ++index) {
@@ -73,6 +77,8 @@
         steering::neighbour_message message;
         message.dataCentre = reader.readText(maximumDataCentreBytes);
         message.storeRevision = reader.readNumber(std::numeric_limits<std::uint64_t>::max());
+        message.isWatching = reader.readFlag();
+        message.viewAge = std::chrono::milliseconds { reader.readNumber(maximumAgeMs) };
         message.wantsHosts = reader.readFlag();
         array_reader hosts = reader.readArray(2 * maximumHosts);
         while (hosts.isGood() && !hosts.isComplete()) {
--- a/src/wire/peer_reader.hpp
+++ b/src/wire/peer_reader.hpp
@@ -26,6 +26,8 @@
     }
     template <typename Strong> Strong readStrong() { return Strong { read<decltype(Strong::value)>() }; }
     bool readFlag();
+    /// A finite number, whole or not.
+    double readReal();
     std::string readText(std::size_t maximumBytes);
     std::span<const std::byte> readBytes(std::size_t maximumBytes);
     core::socket_address readAddress();
