--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -192,9 +192,9 @@
     };
     const std::uint64_t rank = rankOf(address);
     std::size_t before = 0;
-    for (const auto& [other, contact] : m_contacts) {
-        const bool isAlive = now - contact.heardAt.value_or(contact.knownSince) < m_options.silence;
-        before += contact.dataCentre == known.dataCentre && isAlive && rankOf(other) < rank ? 1 : 0;
+    for (const auto& [other, candidate] : m_contacts) {
+        const bool isAlive = now - candidate.heardAt.value_or(candidate.knownSince) < m_options.silence;
+        before += candidate.dataCentre == known.dataCentre && isAlive && rankOf(other) < rank ? 1 : 0;
     }
     return before < m_options.farContacts;
 }
