--- a/include/shallotcove/daemon/tagged_channels.hpp
+++ b/include/shallotcove/daemon/tagged_channels.hpp
@@ -70,7 +70,8 @@
     std::atomic<bool> isRelay { false };
     std::atomic<std::uint32_t> relay { 0 };
     std::atomic<std::uint64_t> relayRevision { 0 };
-    /// Whether the control thread watches the store, and the monotonic time of the last answer in nanoseconds.
+    /// Whether the control thread watches the store, and the monotonic time of the last answer in
+    /// nanoseconds.
     std::atomic<bool> isWatching { true };
     std::atomic<std::int64_t> answeredAt { 0 };
     /// Highest revision of the store that other hosts told of.
--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -37,11 +37,12 @@
     /// A silent host gets messages this long, and is counted among all hosts for the longer time.
     /// A host that was heard within this time is taken to be serving; a few intervals of messages.
     core::duration recentlyHeard { std::chrono::milliseconds { 1000 } };
-    /// From so many hosts in a data centre on, only the first few watch the store and the others ask them. With
-    /// fewer hosts, the shorter waits of those that others rely on cost more calls than they save.
+    /// From so many hosts in a data centre on, only the first few watch the store and the others ask them.
+    /// With fewer hosts, the shorter waits of those that others rely on cost more calls than they save.
     std::size_t hostsForRelays { 6 };
     std::size_t relays { 2 };
-    /// A relay that the store did not answer for so long is not relied on: its wait for changes, and an answer.
+    /// A relay that the store did not answer for so long is not relied on: its wait for changes, and an
+    /// answer.
     core::duration longestRelayAge { std::chrono::milliseconds { 2200 } };
     core::duration silence { std::chrono::seconds { 10 } };
     core::duration memory { std::chrono::seconds { 120 } };
--- a/src/daemon/store_follower.cpp
+++ b/src/daemon/store_follower.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
-#include <span>
 #include <optional>
+#include <span>
 
 #include <boost/asio/steady_timer.hpp>
 #include <pcg_random.hpp>
@@ -63,7 +63,8 @@
         return std::nullopt;
     const std::string_view digits = target.substr(changesPath.size());
     std::uint64_t after = 0;
-    const std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), after);
+    const std::from_chars_result parsed
+        = std::from_chars(digits.data(), digits.data() + digits.size(), after);
     if (parsed.ec != std::errc {} || parsed.ptr != digits.data() + digits.size())
         return std::nullopt;
     const std::vector<std::byte> bytes = wire::encodeChanges({ view.revision(), view.changesSince(after) });
--- /dev/null
+++ b/src/daemon/store_follower_test.cpp
@@ -0,0 +1,215 @@
+#include "store_follower.hpp"
+
+#include <functional>
+#include <map>
+
+#include <criterion/criterion.h>
+
+#include <platform/testing/store_standin.hpp>
+
+#include <shallotcove/daemon/clock.hpp>
+
+#include "http_responder.hpp"
+
+namespace asio = boost::asio;
+namespace daemon_ns = shallotcove::daemon;
+namespace standins = shallotcove::platform::testing;
+namespace steering = shallotcove::steering;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A follower of a stand-in store, with short waits.
+class followed_store {
+public:
+    explicit followed_store(std::size_t itemsPerPage = 50)
+        : m_store(std::move(*standins::store_standin::create(m_context, itemsPerPage)))
+        , m_follower(m_context, options(), m_view, events())
+    {
+        m_store->putConfig(1);
+    }
+
+    /// Runs until the condition holds; false after the time.
+    bool runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!isDone() && std::chrono::steady_clock::now() < end)
+            m_context.run_one_for(5ms);
+        return isDone();
+    }
+
+    bool reaches(std::uint64_t version, std::chrono::milliseconds limit = 3000ms)
+    {
+        return runUntil([this, version] { return m_view.configVersion() == version; }, limit);
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    standins::store_standin& store() { return *m_store; }
+    daemon_ns::store_follower& follower() { return m_follower; }
+    const steering::store_view& view() const { return m_view; }
+    asio::io_context& context() { return m_context; }
+
+    std::vector<std::string> causes;
+    std::vector<std::uint64_t> versions;
+    int answered {};
+    int dropped {};
+    int fetched {};
+
+private:
+    daemon_ns::store_follower_options options() const
+    {
+        daemon_ns::store_follower_options result;
+        result.address = m_store->address();
+        result.watchWait = 300ms;
+        result.probeWait = 100ms;
+        result.answerTimeout = 150ms;
+        result.connectTimeout = 150ms;
+        result.leastInterval = 20ms;
+        result.shortestBackoff = 20ms;
+        result.longestBackoff = 100ms;
+        return result;
+    }
+
+    daemon_ns::store_follower_events events()
+    {
+        return { [this](const std::vector<steering::view_update>& updates) {
+                    for (const steering::view_update& update : updates) {
+                        if (const auto* const config
+                            = std::get_if<steering::routing_config>(&update.change.content))
+                            versions.push_back(config->version);
+                    }
+                },
+            [this](const char*, const char* cause, bool) { causes.push_back(cause); },
+            [this](const char*, shallotcove::core::duration, std::uint64_t) { ++answered; },
+            [this] { ++dropped; }, [](std::uint64_t) {},
+            [this](const auto&, bool isAnswered) { fetched += isAnswered ? 1 : 0; } };
+    }
+
+    asio::io_context m_context;
+    std::unique_ptr<standins::store_standin> m_store;
+    steering::store_view m_view;
+    daemon_ns::store_follower m_follower;
+};
+
+} // namespace
+
+// Guards against changes that are missed, and against a call for each item.
+Test(store_follower, reads_all_pages_and_watches)
+{
+    followed_store followed(2);
+    for (int number = 1; number <= 5; ++number)
+        followed.store().putServer("i-" + std::to_string(number));
+    followed.follower().start();
+    cr_assert(followed.runUntil([&] { return followed.view().isComplete(); }, 2000ms));
+    cr_assert(followed.view().changesSince(0).size() == 6);
+    const std::uint64_t calls = followed.store().callCount();
+    followed.store().putConfig(2);
+    cr_assert(followed.reaches(2, 500ms));
+    followed.run(600ms);
+    cr_assert(followed.store().callCount() - calls <= 6, "%lu", followed.store().callCount() - calls);
+}
+
+// Guards against a host that never comes back, or goes back, after any trouble with the store, at the start
+// and later.
+Test(store_follower, recovers_from_every_fault)
+{
+    using enum standins::store_fault;
+    const std::map<standins::store_fault, std::string> faults { { Busy, "busy" },
+        { TooManyCalls, "tooManyCalls" }, { Reset, "noAnswer" }, { Silent, "noAnswer" },
+        { Garbage, "malformed" }, { GarbageBody, "unexpected" }, { HalfAnswers, "noAnswer" },
+        { Down, "notConnected" } };
+    for (const auto& [fault, cause] : faults) {
+        followed_store followed;
+        followed.store().setFault(fault);
+        followed.follower().start();
+        followed.run(400ms);
+        cr_assert(!followed.view().isComplete(), "%s", cause.c_str());
+        cr_assert(!followed.causes.empty() && followed.causes[0] == cause, "%s: %s", cause.c_str(),
+            followed.causes.empty() ? "no failure" : followed.causes[0].c_str());
+        followed.store().setFault(None);
+        cr_assert(followed.reaches(1), "%s at the start", cause.c_str());
+        followed.store().setFault(fault);
+        followed.run(500ms);
+        followed.store().putConfig(2);
+        followed.store().setFault(None);
+        cr_assert(followed.reaches(2), "%s later", cause.c_str());
+        cr_assert((followed.versions == std::vector<std::uint64_t> { 1, 2 }), "%s", cause.c_str());
+        cr_assert(followed.answered >= 1, "%s", cause.c_str());
+    }
+}
+
+// Guards against a configuration in force that goes back when the history is dropped and the listing is
+// behind.
+Test(store_follower, dropped_history_takes_nothing_back)
+{
+    followed_store followed;
+    followed.store().putServer("i-1");
+    followed.follower().start();
+    cr_assert(followed.reaches(1));
+    followed.store().freezeListings(true);
+    followed.store().putConfig(2);
+    cr_assert(followed.reaches(2));
+    followed.store().setDeaf(true);
+    followed.store().putConfig(3);
+    followed.store().removeServer("i-1");
+    followed.run(400ms);
+    followed.store().dropHistory();
+    followed.store().setDeaf(false);
+    followed.run(300ms);
+    cr_assert(followed.dropped >= 1 && followed.view().configVersion() == 2);
+    followed.store().freezeListings(false);
+    cr_assert(followed.reaches(3));
+    cr_assert((followed.versions == std::vector<std::uint64_t> { 1, 2, 3 }));
+}
+
+// Guards against entries of other writers that stop the reading of the good ones.
+Test(store_follower, unreadable_entries_do_not_stop_the_others)
+{
+    followed_store followed;
+    followed.store().putGarbage("i-1");
+    followed.store().putServer("i-2");
+    followed.follower().start();
+    cr_assert(followed.reaches(1));
+    followed.store().putGarbage("i-2");
+    followed.store().putConfig(2);
+    cr_assert(followed.reaches(2));
+}
+
+// Guards against a host without the store that does not learn from its neighbour, or calls the store all the
+// same.
+Test(store_follower, rests_and_learns_from_a_neighbour)
+{
+    followed_store followed;
+    followed.follower().start();
+    cr_assert(followed.reaches(1));
+    steering::store_view neighbour;
+    neighbour.applyListing(
+        followed.view().changesSince(0), followed.view().revision(), daemon_ns::monotonicNow());
+    const auto responder = daemon_ns::http_responder::create(followed.context(),
+        *shallotcove::core::socket_address::parse("127.0.0.1:0"), [&](std::string_view target) {
+            const std::optional<std::string> body = daemon_ns::answerChanges(neighbour, target);
+            return body ? daemon_ns::http_reply { 200, "", *body } : daemon_ns::http_reply { 404, "", "" };
+        });
+    cr_assert(responder.has_value());
+    followed.runUntil(
+        [&] {
+            followed.follower().rest();
+            return false;
+        },
+        400ms);
+    const std::uint64_t calls = followed.store().callCount();
+    neighbour.apply({ { steering::item_kind::Config, "" }, 50, steering::routing_config { 9, {}, {} } },
+        daemon_ns::monotonicNow());
+    followed.follower().fetch((*responder)->address());
+    cr_assert(followed.reaches(9, 1000ms) && followed.fetched == 1 && followed.view().revision() == 50);
+    followed.run(500ms);
+    cr_assert(followed.store().callCount() == calls);
+    followed.follower().watch(300ms);
+    followed.run(100ms);
+    cr_assert(followed.store().callCount() == calls + 1);
+}
--- a/src/daemon/tagged_host.cpp
+++ b/src/daemon/tagged_host.cpp
@@ -39,8 +39,8 @@
     constexpr std::chrono::milliseconds leastShutdown { 1200 };
     /// Without a packet for this long, the routers have taken the host out.
     constexpr std::chrono::milliseconds quietBeforeEnd { 300 };
-    /// What other hosts know of the store is not known here for so long: the watch of this host is dead. Longer than
-    /// the pause between two watches.
+    /// What other hosts know of the store is not known here for so long: the watch of this host is dead.
+    /// Longer than the pause between two watches.
     constexpr std::chrono::milliseconds longestLag { 1400 };
     /// After that a host watches the store itself for so long.
     constexpr std::chrono::milliseconds ownWatch { 3000 };
@@ -217,7 +217,8 @@
         };
         events.onFetched = [this](const core::socket_address& relay, bool isAnswered) {
             post([relay, isAnswered, revision = m_view.revision()](event_log& log) {
-                log.write<event::ChangesFetched>(relay.toString(), isAnswered ? "answered" : "failed", revision);
+                log.write<event::ChangesFetched>(
+                    relay.toString(), isAnswered ? "answered" : "failed", revision);
             });
         };
         return events;
@@ -286,7 +287,8 @@
 
     http_reply changesReply(std::string_view target) const
     {
-        const std::optional<std::string> body = m_view.isComplete() ? answerChanges(m_view, target) : std::nullopt;
+        const std::optional<std::string> body
+            = m_view.isComplete() ? answerChanges(m_view, target) : std::nullopt;
         if (!body)
             return { 404, "text/plain", "no such page, or nothing known yet\n" };
         return { 200, "application/msgpack", *body };
@@ -365,10 +367,11 @@
         const bool shouldWatch = !m_view.isComplete() || monotonicNow() < m_watchUntil
             || m_channels.shouldWatch.load(std::memory_order_acquire);
         if (std::exchange(m_isWatchingStore, shouldWatch) != shouldWatch)
-            post([shouldWatch, relay = m_channels.relay.load(), revision = m_view.revision()](event_log& log) {
-                log.write<event::WatchDutyChanged>(shouldWatch ? "store" : "neighbour",
-                    core::ip_address::fromV4(relay).toString(), revision);
-            });
+            post(
+                [shouldWatch, relay = m_channels.relay.load(), revision = m_view.revision()](event_log& log) {
+                    log.write<event::WatchDutyChanged>(shouldWatch ? "store" : "neighbour",
+                        core::ip_address::fromV4(relay).toString(), revision);
+                });
         if (shouldWatch)
             m_follower.watch(m_channels.isRelay.load() ? options.relayWait : options.watchWait);
         else
@@ -376,8 +379,7 @@
         m_channels.isWatching.store(shouldWatch, std::memory_order_relaxed);
         m_channels.answeredAt.store(m_follower.answeredAt().sinceStart.count(), std::memory_order_relaxed);
         if (!shouldWatch && m_channels.relayRevision.load() > m_view.revision())
-            m_follower.fetch(
-                { core::ip_address::fromV4(m_channels.relay.load()), m_addresses.peers.port });
+            m_follower.fetch({ core::ip_address::fromV4(m_channels.relay.load()), m_addresses.peers.port });
     }
 
     /// A watch that reports nothing while other hosts learn of changes is dead, although its connection
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -146,9 +146,9 @@
 {
     if (neighbourCount(now) + 1 < m_options.hostsForRelays)
         return {};
-    const std::size_t before = static_cast<std::size_t>(std::count_if(
-        m_contacts.begin(), m_contacts.lower_bound(m_options.self.address),
-        [this, now](const auto& known) { return isRecent(known.second, now); }));
+    const std::size_t before = static_cast<std::size_t>(
+        std::count_if(m_contacts.begin(), m_contacts.lower_bound(m_options.self.address),
+            [this, now](const auto& known) { return isRecent(known.second, now); }));
     if (before < m_options.relays)
         return { true, true, 0, 0 };
     watch_duty result;
@@ -177,10 +177,8 @@
 
 std::size_t host_directory::neighbourCount(core::timestamp now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_contacts.begin(), m_contacts.end(), [this, now](const auto& known) {
-            return isRecent(known.second, now);
-        }));
+    return static_cast<std::size_t>(std::count_if(m_contacts.begin(), m_contacts.end(),
+        [this, now](const auto& known) { return isRecent(known.second, now); }));
 }
 
 bool host_directory::isFarContact(std::uint32_t address, const contact& known, core::timestamp now) const
--- /dev/null
+++ b/src/steering/load_world.hpp
@@ -0,0 +1,264 @@
+#pragma once
+
+// A fleet of engines with callers and servers on a timeline, for tests of what callers get under a load.
+
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+#include "steering_fixture.hpp"
+
+namespace shallotcove::steering::testing {
+
+struct load_options {
+    std::size_t hosts { 3 };
+    std::size_t servers { 5 };
+    std::uint32_t slots { 3 };
+    /// New requests per second of all callers.
+    double requestsPerSecond { 150 };
+    double workMilliseconds { 42 };
+    /// The hosts are away in this span.
+    double outageFrom { 2000 };
+    double outageUntil { 3300 };
+    double end { 6000 };
+    /// A server that takes packets and answers none from this time on; 0 for none.
+    std::size_t silentServer {};
+    double silentFrom {};
+    steering_options steering { optionsOf() };
+    std::uint64_t seed { 1 };
+};
+
+/// What became of the requests that callers first sent in a span.
+struct load_result {
+    int sent {};
+    int timely {};
+    int late {};
+    int refused {};
+    /// Opening packets that servers got.
+    int offered {};
+};
+
+class load_world {
+public:
+    explicit load_world(load_options options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+    {
+        for (std::size_t index = 0; index < m_options.servers; ++index)
+            m_servers[tagOf(idOf(index))];
+        startHosts(0);
+        scheduleCaller(0);
+        for (double now = 0; now < m_options.end + 3000; now += 5)
+            schedule(now, [this, now] { tick(now); });
+        schedule(m_options.outageFrom, [this] { m_hosts.clear(); });
+        schedule(m_options.outageUntil, [this] { startHosts(m_options.outageUntil); });
+    }
+
+    void run()
+    {
+        while (!m_events.empty()) {
+            const timed_event next = m_events.top();
+            m_events.pop();
+            next.work();
+        }
+    }
+
+    load_result resultOf(double from, double until) const
+    {
+        load_result result;
+        for (const request& known : m_requests) {
+            if (known.sentAt < from || known.sentAt >= until)
+                continue;
+            ++result.sent;
+            result.refused += known.isRefused ? 1 : 0;
+            result.offered += known.offers;
+            if (known.answeredAt <= 0 || known.answeredAt > known.sentAt + 1200)
+                continue;
+            ++(known.answeredAt <= known.sentAt + 200 ? result.timely : result.late);
+        }
+        return result;
+    }
+
+private:
+    struct request {
+        double sentAt {};
+        double answeredAt {};
+        std::size_t host {};
+        bool isOpen {};
+        bool isRefused {};
+        int offers {};
+    };
+
+    struct server_model {
+        std::uint32_t busy {};
+        std::deque<std::size_t> queue;
+    };
+
+    struct timed_event {
+        double at {};
+        std::uint64_t order {};
+        std::function<void()> work;
+
+        friend bool operator>(const timed_event& left, const timed_event& right)
+        {
+            return left.at != right.at ? left.at > right.at : left.order > right.order;
+        }
+    };
+
+    static constexpr double callerDelay = 3;
+
+    static std::string idOf(std::size_t index) { return "i-" + std::to_string(index + 1); }
+
+    void schedule(double at, std::function<void()> work)
+    {
+        m_events.push({ at, m_order++, std::move(work) });
+    }
+
+    double uniform() { return (m_random() + 0.5) / 4294967296.0; }
+
+    void startHosts(double now)
+    {
+        for (std::size_t index = 0; index < m_options.hosts; ++index) {
+            steering_options options = m_options.steering;
+            options.randomSeed = index + 1;
+            m_hosts.emplace_back(options);
+            m_hosts.back().applyConfig(configOf({ routeTo({ { "booking", 1 } }) }));
+            for (std::size_t server = 0; server < m_options.servers; ++server) {
+                server_entry entry = serverEntry(idOf(server));
+                entry.slots = m_options.slots;
+                m_hosts.back().applyServer(entry, at(now));
+            }
+            m_hosts.back().setInformed(true);
+            m_hosts.back().setHosts({ 1, 2, 3 }, static_cast<std::uint32_t>(index + 1), m_options.hosts - 1);
+        }
+    }
+
+    void scheduleCaller(double now)
+    {
+        const double next = now - std::log(uniform()) * 1000 / m_options.requestsPerSecond;
+        if (next >= m_options.end)
+            return;
+        schedule(next, [this, next] {
+            const std::size_t number = m_requests.size();
+            m_requests.push_back(
+                { next, 0, m_random(static_cast<std::uint32_t>(m_options.hosts)), false, false, 0 });
+            for (std::uint32_t copy = 0; copy < 3; ++copy)
+                schedule(next + callerDelay
+                        + (copy == 0        ? 0
+                                : copy == 1 ? 200
+                                            : 600),
+                    [this, number, copy] { open(number, copy); });
+            scheduleCaller(next);
+        });
+    }
+
+    void open(std::size_t number, std::uint32_t copy)
+    {
+        const request& known = m_requests[number];
+        if (known.isOpen || known.isRefused || m_hosts.empty())
+            return;
+        const double now = known.sentAt + callerDelay + (copy == 0 ? 0 : copy == 1 ? 200 : 600);
+        carryOut(number, m_hosts[known.host].handlePacket(opening(portOf(number), copy), at(now)), now);
+        serveWaiting(known.host, now);
+    }
+
+    static std::uint16_t portOf(std::size_t number) { return static_cast<std::uint16_t>(number + 1); }
+
+    void carryOut(std::size_t number, const packet_decision& decision, double now)
+    {
+        request& known = m_requests[number];
+        if (decision.action == packet_action::Refuse)
+            known.isRefused = true;
+        if (decision.action != packet_action::Forward)
+            return;
+        ++known.offers;
+        const bool isSilent = m_options.silentServer > 0 && now >= m_options.silentFrom
+            && decision.tag == tagOf(idOf(m_options.silentServer - 1));
+        if (!isSilent)
+            schedule(now + callerDelay,
+                [this, number, tag = decision.tag, now] { answerOpening(number, tag, now + callerDelay); });
+    }
+
+    // The caller takes the first answer, unless it has given up.
+    void answerOpening(std::size_t number, server_tag tag, double now)
+    {
+        request& known = m_requests[number];
+        if (known.isOpen || known.isRefused || now > known.sentAt + 1400)
+            return;
+        known.isOpen = true;
+        schedule(now + callerDelay, [this, number, tag, now] {
+            if (!m_hosts.empty())
+                m_hosts[m_requests[number].host].handlePacket(
+                    following(portOf(number), tag, 200), at(now + callerDelay));
+            m_servers[tag].queue.push_back(number);
+            work(tag, now + callerDelay);
+        });
+    }
+
+    void work(server_tag tag, double now)
+    {
+        server_model& server = m_servers[tag];
+        while (server.busy < m_options.slots && !server.queue.empty()) {
+            const std::size_t number = server.queue.front();
+            server.queue.pop_front();
+            ++server.busy;
+            const double time = m_options.workMilliseconds * (0.5 + uniform());
+            schedule(now + time, [this, number, tag, now, time] {
+                --m_servers[tag].busy;
+                m_requests[number].answeredAt = now + time + callerDelay;
+                schedule(now + time + 2 * callerDelay,
+                    [this, number, tag, now, time] { close(number, tag, now + time + 2 * callerDelay); });
+                work(tag, now + time);
+            });
+        }
+    }
+
+    void close(std::size_t number, server_tag tag, double now)
+    {
+        if (m_hosts.empty())
+            return;
+        const std::size_t host = m_requests[number].host;
+        m_hosts[host].handlePacket(following(portOf(number), tag, 0, true), at(now));
+        serveWaiting(host, now);
+    }
+
+    void serveWaiting(std::size_t host, double now) { deliver(m_hosts[host].startWaiting(at(now)), now); }
+
+    void deliver(const std::vector<delayed_offer>& offers, double now)
+    {
+        for (const delayed_offer& offer : offers)
+            carryOut(offer.opening.flow.callerPort - 1U, offer.decision, now);
+    }
+
+    void tick(double now)
+    {
+        const bool isExchange = static_cast<int>(now) % 50 == 0;
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            deliver(m_hosts[index].advance(at(now)), now);
+            serveWaiting(index, now);
+            if (!isExchange)
+                continue;
+            const load_report loads = m_hosts[index].takeLoads();
+            for (std::size_t other = 0; other < m_hosts.size(); ++other) {
+                if (other != index)
+                    m_hosts[other].applyNeighbourLoads(static_cast<std::uint32_t>(index + 1), loads, at(now));
+            }
+        }
+    }
+
+    load_options m_options;
+    pcg32 m_random;
+    std::uint64_t m_order {};
+    std::vector<steering_engine> m_hosts;
+    std::map<server_tag, server_model> m_servers;
+    std::vector<request> m_requests;
+    std::priority_queue<timed_event, std::vector<timed_event>, std::greater<>> m_events;
+};
+
+} // namespace shallotcove::steering::testing
--- /dev/null
+++ b/src/steering/load_world_test.cpp
@@ -0,0 +1,78 @@
+#include "load_world.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace shallotcove::steering;
+using namespace shallotcove::steering::testing;
+
+namespace {
+
+load_result playedResult(const load_options& options, double from, double until)
+{
+    load_world world(options);
+    world.run();
+    return world.resultOf(from, until);
+}
+
+/// Without waiting at the hosts: servers take whatever comes.
+load_options withoutWaiting(load_options options)
+{
+    options.steering.flowsPerSlot = 1e6;
+    options.steering.flowsPerFarSlot = 1e6;
+    return options;
+}
+
+} // namespace
+
+// Guards against late answers on a calm day, where each host sees a third of the flows.
+Test(load_world, usual_load_is_answered_in_time)
+{
+    load_options options;
+    options.outageFrom = options.outageUntil = 1e6;
+    const load_result result = playedResult(options, 500, 6000);
+    cr_assert(result.timely >= 0.995 * result.sent, "%d of %d", result.timely, result.sent);
+    cr_assert(result.offered <= 1.02 * result.sent, "%d offers for %d", result.offered, result.sent);
+}
+
+// Guards against a backlog after an outage that makes the callers late who come after it.
+Test(load_world, callers_after_an_outage_are_not_held_up_by_the_backlog)
+{
+    load_options options;
+    // The backlog of 1.3 s takes more than a second beside this load.
+    options.requestsPerSecond = 220;
+    const load_result with = playedResult(options, 3350, 4500);
+    const load_result without = playedResult(withoutWaiting(options), 3350, 4500);
+    cr_assert(with.timely >= 0.95 * with.sent, "%d of %d in time", with.timely, with.sent);
+    cr_assert(with.timely > without.timely, "%d with waiting, %d without", with.timely, without.timely);
+    // Those who came during the outage are served as well, if late.
+    const load_result backlog = playedResult(options, 2300, 3300);
+    const load_result backlogWithout = playedResult(withoutWaiting(options), 2300, 3300);
+    cr_assert(backlog.late >= 0.9 * backlogWithout.late, "%d, %d", backlog.late, backlogWithout.late);
+}
+
+// Guards against a collapse in which everybody waits and most work is done for callers who have left.
+Test(load_world, overload_serves_what_the_servers_bear)
+{
+    load_options options;
+    options.outageFrom = options.outageUntil = 1e6;
+    // Five servers of three slots bear some 357 requests a second.
+    options.requestsPerSecond = 500;
+    const load_result with = playedResult(options, 2000, 5500);
+    const load_result without = playedResult(withoutWaiting(options), 2000, 5500);
+    const double borne = 3.5 * 15 * 1000 / options.workMilliseconds;
+    cr_assert(with.timely >= 0.75 * borne, "%d of %.0f borne", with.timely, borne);
+    cr_assert(with.timely > 2 * without.timely, "%d with waiting, %d without", with.timely, without.timely);
+    cr_assert(with.refused > 0.5 * (with.sent - borne), "%d refused of %d", with.refused, with.sent);
+}
+
+// Guards against a silent server that costs more than the first flows that find it.
+Test(load_world, silent_server_costs_little)
+{
+    load_options options;
+    options.outageFrom = options.outageUntil = 1e6;
+    options.silentServer = 2;
+    options.silentFrom = 2000;
+    const load_result result = playedResult(options, 2000, 5600);
+    cr_assert(result.timely >= 0.98 * result.sent, "%d of %d", result.timely, result.sent);
+    cr_assert(result.offered <= 1.08 * result.sent, "%d offers for %d", result.offered, result.sent);
+}
--- a/src/wire/view_codec.cpp
+++ b/src/wire/view_codec.cpp
@@ -121,8 +121,7 @@
             array_reader rules = services.readArray(3);
             const std::string name = rules.readText(maximumTextBytes);
             const std::chrono::milliseconds coldAfterStart = readMilliseconds(rules);
-            config.services.push_back(
-                { name, coldAfterStart, rules.readReal() });
+            config.services.push_back({ name, coldAfterStart, rules.readReal() });
         }
         return config;
     }
@@ -137,7 +136,8 @@
         entry.address.port = reader.read<std::uint16_t>();
         entry.dataCentre = reader.readText(maximumTextBytes);
         entry.slots = reader.read<std::uint32_t>();
-        entry.state = reader.readNumber(1) == 0 ? steering::server_state::Ready : steering::server_state::Draining;
+        entry.state
+            = reader.readNumber(1) == 0 ? steering::server_state::Ready : steering::server_state::Draining;
         entry.coldFor = readMilliseconds(reader);
         entry.startedAtMs = static_cast<std::int64_t>(reader.readNumber(maximumNumber));
         return entry;
