--- a/src/daemon/http_responder.cpp
+++ b/src/daemon/http_responder.cpp
@@ -90,6 +90,8 @@
             m_acceptor.bind(endpoint, error);
         if (!error)
             m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (!error)
+            m_address = { address.address, m_acceptor.local_endpoint(error).port() };
         return error;
     }
 
@@ -111,17 +113,12 @@
         m_acceptor.close(ignored);
     }
 
-    core::socket_address address(const core::socket_address& asked) const
-    {
-        boost::system::error_code ignored;
-        return { asked.address, m_acceptor.local_endpoint(ignored).port() };
-    }
-
-    core::socket_address m_address;
+    core::socket_address address() const { return m_address; }
 
 private:
     tcp::acceptor m_acceptor;
     handler m_handle;
+    core::socket_address m_address;
 };
 
 tl::expected<std::unique_ptr<http_responder>, std::string> http_responder::create(
@@ -132,7 +129,6 @@
     const boost::system::error_code error = inner->listen(address);
     if (error)
         return tl::unexpected(error.message());
-    inner->m_address = inner->address(address);
     inner->accept();
     return std::unique_ptr<http_responder>(new http_responder(inner));
 }
@@ -144,6 +140,6 @@
 
 http_responder::~http_responder() { m_implementation->close(); }
 
-core::socket_address http_responder::address() const { return m_implementation->m_address; }
+core::socket_address http_responder::address() const { return m_implementation->address(); }
 
 } // namespace shallotcove::daemon
--- a/src/daemon/tagged_host.cpp
+++ b/src/daemon/tagged_host.cpp
@@ -34,7 +34,6 @@
     constexpr std::chrono::milliseconds logIdleWait { 50 };
     /// How often the settings file is looked at; it may change without a signal.
     constexpr std::chrono::seconds settingsInterval { 2 };
-    constexpr std::chrono::seconds metricsInterval { 1 };
     /// Routers ask twice a second and take a host out after two refusals.
     constexpr std::chrono::milliseconds leastShutdown { 1200 };
     /// Without a packet for this long, the routers have taken the host out.
