Explain a flow from the logs of all hosts

shallotcovectl explain-log FILE FLOW prints the lines on a flow and the changes of belief around it, and says what became of it.

--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstdint>
+#include <fstream>
 #include <ostream>
 #include <random>
 #include <thread>
@@ -11,6 +12,7 @@
 #include <shallotcove/rpc/operator_client.hpp>
 
 #include "connection.hpp"
+#include "explain_log.hpp"
 #include "flags.hpp"
 #include "subcommands.hpp"
 #include "table_output.hpp"
@@ -19,6 +21,10 @@
 
 namespace {
 
+    constexpr const char* explainUsage = "Usage: shallotcovectl explain-log FILE FLOW\n\nTells from the log "
+                                         "of one or more hosts what happened to a flow, "
+                                         "for example\n\"198.51.100.7:40001>192.0.2.1:443\".\n";
+
     struct output_format {
         std::ostream& output;
         std::ostream& errors;
@@ -220,10 +226,34 @@
         return exit_code::Done;
     }
 
+    /// Answers from a log file; no host is asked.
+    exit_code explainLog(const invocation& typed, std::ostream& output, std::ostream& errors)
+    {
+        if (typed.words.size() != 3 || typed.flags.count("help") > 0) {
+            errors << explainUsage;
+            return typed.flags.count("help") > 0 ? exit_code::Done : exit_code::Usage;
+        }
+        std::ifstream log(typed.words[1]);
+        if (!log) {
+            errors << typed.words[1] << ": cannot be read\n";
+            return exit_code::Usage;
+        }
+        const flow_explanation explanation = explainFlow(log, typed.words[2]);
+        if (explanation.verdict.empty()) {
+            errors << "no line on flow " << typed.words[2]
+                   << ": no host with a line in this file got its first packet, or lines were dropped\n";
+            return exit_code::Refused;
+        }
+        output << explanation.lines << "\nflow " << typed.words[2] << ": " << explanation.verdict << "\n";
+        return exit_code::Done;
+    }
+
 } // namespace
 
 exit_code run(const invocation& typed, std::ostream& output, std::ostream& errors)
 {
+    if (!typed.words.empty() && typed.words[0] == "explain-log")
+        return explainLog(typed, output, errors);
     const subcommand* const chosen = findSubcommand(typed.words);
     const bool wantsHelp = typed.flags.count("help") > 0;
     if (chosen == nullptr) {
--- a/src/ctl/subcommands.cpp
+++ b/src/ctl/subcommands.cpp
@@ -267,6 +267,7 @@
     for (const subcommand& entry : subcommands())
         text += "  " + entry.words + (entry.arguments.empty() ? "" : " ") + entry.arguments + "\n      "
             + entry.summary + "\n";
+    text += "  explain-log FILE FLOW\n      tells from a log what happened to a flow; asks no host\n";
     return text
         + "\n`shallotcovectl SUBCOMMAND --help` shows the flags of a subcommand.\n\n"
           "Exit codes: 0 done, 1 usage, 2 refused, 3 host or store unavailable, 4 outcome unknown, "
