--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -31,6 +31,8 @@
     std::size_t farContacts { 3 };
     /// The same while this host needs to know which data centres it can reach.
     core::duration urgentFarInterval { std::chrono::milliseconds { 250 } };
+    /// The same while it needs their loads; with three contacts, every 50 ms one is asked.
+    core::duration loadFarInterval { std::chrono::milliseconds { 150 } };
     core::duration seedInterval { std::chrono::milliseconds { 1000 } };
     /// The same while no other host is known: a fleet that starts together finds itself within a blink.
     core::duration firstSeedInterval { std::chrono::milliseconds { 100 } };
@@ -68,6 +70,14 @@
     friend bool operator==(const watch_duty&, const watch_duty&) = default;
 };
 
+/// What this host needs to learn from other data centres soon.
+struct far_needs {
+    /// Whether it can reach them.
+    bool reachability {};
+    /// What they place on the servers: its own data centre has no room.
+    bool loads {};
+};
+
 struct outgoing_message {
     std::uint32_t to {};
     neighbour_message message;
@@ -82,10 +92,10 @@
     // Commands.
 
     /// The answer, if the message asks for one.
-    std::optional<outgoing_message> handle(
-        std::uint32_t from, const neighbour_message&, const view_report&, core::timestamp now);
+    std::optional<outgoing_message> handle(std::uint32_t from, const neighbour_message&, const load_report& placeLoads,
+        const view_report&, core::timestamp now);
     std::vector<outgoing_message> advance(
-        const load_report&, const view_report&, bool isUrgent, core::timestamp now);
+        const load_report&, const view_report&, const far_needs&, core::timestamp now);
     /// Whether the set of known hosts changed since the last call.
     bool takeChanged();
 
@@ -116,7 +126,7 @@
 
     neighbour_message greeting(const view_report&, core::timestamp now) const;
     bool isRecent(const contact&, core::timestamp now) const;
-    core::duration intervalOf(const contact&, bool isUrgent, bool hasNewLoads, core::timestamp now) const;
+    core::duration intervalOf(const contact&, const far_needs&, bool hasNewLoads, core::timestamp now) const;
     void learn(const known_host&, core::timestamp now);
     /// Whether the host of another data centre is one of those that this host exchanges messages with.
     bool isFarContact(std::uint32_t address, const contact&, core::timestamp now) const;
--- a/include/shallotcove/steering/neighbour_loads.hpp
+++ b/include/shallotcove/steering/neighbour_loads.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include <shallotcove/core/time.hpp>
 #include <shallotcove/steering/load_report.hpp>
@@ -10,20 +11,25 @@
 namespace shallotcove::steering {
 
 class server_directory;
+struct server_record;
 
-/// Loads that the other hosts of the data centre place, added up in the records of the servers.
-class neighbour_loads {
+/// Loads that others place, added up in one field of the records of the servers. Reporter is what names a sender: a
+/// host of this data centre by its address, or another data centre as a whole by its name.
+template <typename Reporter> class neighbour_loads {
 public:
-    explicit neighbour_loads(core::duration lifetime);
+    using field = std::uint32_t server_record::*;
 
-    /// Replaces what the host said before.
-    void apply(std::uint32_t hostAddress, const load_report&, server_directory&, core::timestamp now);
-    /// Takes back reports of hosts that are silent.
+    neighbour_loads(field total, core::duration lifetime);
+
+    /// Replaces what the reporter said before.
+    void apply(const Reporter&, const load_report&, server_directory&, core::timestamp now);
+    /// Takes back reports of reporters that are silent.
     void expire(server_directory&, core::timestamp now);
 
-    std::size_t hostCount() const { return m_reports.size(); }
-    /// Hosts with a smaller address than the given one.
-    std::size_t hostsBefore(std::uint32_t hostAddress) const;
+    std::size_t count() const { return m_reports.size(); }
+    bool has(const Reporter& reporter) const { return m_reports.contains(reporter); }
+    /// Reporters that come before the given one.
+    std::size_t countBefore(const Reporter&) const;
 
 private:
     struct dated_report {
@@ -31,10 +37,14 @@
         core::timestamp at;
     };
 
-    static void subtract(const load_report&, server_directory&);
+    void subtract(const load_report&, server_directory&) const;
 
+    field m_total;
     core::duration m_lifetime;
-    std::map<std::uint32_t, dated_report> m_reports;
+    std::map<Reporter, dated_report> m_reports;
 };
 
+extern template class neighbour_loads<std::uint32_t>;
+extern template class neighbour_loads<std::string>;
+
 } // namespace shallotcove::steering
--- a/include/shallotcove/steering/neighbour_message.hpp
+++ b/include/shallotcove/steering/neighbour_message.hpp
@@ -29,7 +29,9 @@
     /// Asks for the hosts that the receiver knows.
     bool wantsHosts {};
     std::vector<known_host> hosts;
-    /// Empty between data centres.
+    /// Asks for the loads of the receiver's data centre.
+    bool wantsLoads {};
+    /// Loads of the sender, or of all hosts of its data centre in an answer to another one.
     load_report loads;
 
     friend bool operator==(const neighbour_message&, const neighbour_message&) = default;
--- a/include/shallotcove/steering/placement.hpp
+++ b/include/shallotcove/steering/placement.hpp
@@ -9,6 +9,7 @@
 
 #include <shallotcove/core/time.hpp>
 #include <shallotcove/steering/data_centre_evidence.hpp>
+#include <shallotcove/steering/neighbour_loads.hpp>
 #include <shallotcove/steering/packet_decision.hpp>
 #include <shallotcove/steering/server_tag.hpp>
 
@@ -24,6 +25,8 @@
     const steering_options& options;
     const std::set<std::string>& dataCentresOut;
     const std::map<std::string, data_centre_evidence>& dataCentres;
+    /// Which data centres told their loads not long ago.
+    const neighbour_loads<std::string>& places;
     cold_admission& cold;
     /// Limit of a cold server of the service; 0 for none.
     double coldFlowsPerSecond {};
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -56,6 +56,8 @@
     /// routes.
     void setInformed(bool isInformed) { m_isInformed = isInformed; }
     void applyNeighbourLoads(std::uint32_t hostAddress, const load_report&, core::timestamp now);
+    /// What all hosts of another data centre place.
+    void applyFarLoads(const std::string& dataCentre, const load_report&, core::timestamp now);
     /// Addresses of all hosts known, this one included; they share the limits of cold servers. So many others
     /// are in this data centre.
     void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self, std::size_t neighbours);
@@ -75,6 +77,8 @@
 
     // Queries.
 
+    /// Open flows at each server that the hosts of this data centre placed, as far as they told.
+    load_report placeLoads() const;
     /// When advance() has something to do next; at most a second away.
     core::timestamp nextDeadline(core::timestamp now) const;
     bool hasWaiting() const { return m_waitingCount > 0; }
@@ -148,7 +152,8 @@
     server_directory m_servers;
     std::map<std::string, data_centre_evidence> m_dataCentres;
     flow_ledger m_ledger;
-    neighbour_loads m_neighbours;
+    neighbour_loads<std::uint32_t> m_neighbours;
+    neighbour_loads<std::string> m_places;
     cold_admission m_cold;
     std::map<std::string, waiting_flows> m_waiting;
     std::size_t m_waitingCount {};
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -20,6 +20,8 @@
 namespace {
 
     constexpr std::size_t knowledgePerRound = 256;
+    // After flows had to wait, loads of other data centres are asked for so long.
+    constexpr std::chrono::milliseconds loadInterest { 500 };
     // Under a flood, timed work is done at least this often.
     constexpr std::size_t batchesPerRound = 8;
 
@@ -245,8 +247,12 @@
         const core::timestamp now = monotonicNow();
         if (message.dataCentre == m_options.steering.dataCentre)
             m_engine.applyNeighbourLoads(from, message.loads, now);
+        else if (!message.loads.empty())
+            m_engine.applyFarLoads(message.dataCentre, message.loads, now);
+        const steering::load_report placeLoads
+            = message.wantsLoads ? m_engine.placeLoads() : steering::load_report {};
         if (const std::optional<steering::outgoing_message> answer
-            = m_hosts.handle(from, message, viewReport(), now))
+            = m_hosts.handle(from, message, placeLoads, viewReport(), now))
             send(*answer);
         m_channels.neighbourRevision.store(m_hosts.highestRevision(), std::memory_order_relaxed);
     }
@@ -266,9 +272,12 @@
         m_nextExchange = now + m_options.steering.exchangeInterval;
         updateReadiness(now);
         publishDuty(now);
-        const bool isUrgent = m_readiness.state() == steering::readiness_state::Isolated;
+        if (m_engine.hasWaiting())
+            m_waitedAt = now;
+        const steering::far_needs needs { m_readiness.state() == steering::readiness_state::Isolated,
+            m_waitedAt && now - *m_waitedAt < loadInterest };
         for (const steering::outgoing_message& outgoing :
-            m_hosts.advance(m_engine.takeLoads(), viewReport(), isUrgent, now))
+            m_hosts.advance(m_engine.takeLoads(), viewReport(), needs, now))
             send(outgoing);
         const std::size_t neighbours = m_hosts.neighbourCount(now);
         if (m_hosts.takeChanged() || neighbours != m_neighbourCount) {
@@ -339,6 +348,8 @@
     packet_batch m_batch;
     core::timestamp m_nextExchange;
     std::size_t m_neighbourCount {};
+    /// When flows waited last.
+    std::optional<core::timestamp> m_waitedAt;
     bool m_hasCallers {};
     bool m_hasNeighbours {};
     bool m_isDrained { true };
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -21,8 +21,8 @@
 {
 }
 
-std::optional<outgoing_message> host_directory::handle(
-    std::uint32_t from, const neighbour_message& message, const view_report& view, core::timestamp now)
+std::optional<outgoing_message> host_directory::handle(std::uint32_t from, const neighbour_message& message,
+    const load_report& placeLoads, const view_report& view, core::timestamp now)
 {
     if (from == m_options.self.address)
         return std::nullopt;
@@ -39,9 +39,13 @@
     m_highestRevision = std::max(m_highestRevision, message.storeRevision);
     for (const known_host& host : message.hosts)
         learn(host, now);
-    if (!message.wantsHosts)
+    if (!message.wantsHosts && !message.wantsLoads)
         return std::nullopt;
     outgoing_message answer { from, greeting(view, now) };
+    if (message.wantsLoads)
+        answer.message.loads = placeLoads;
+    if (!message.wantsHosts)
+        return answer;
     for (const auto& [address, other] : m_contacts) {
         const bool isAlive = other.heardAt && now - *other.heardAt < m_options.silence;
         if (address != from && isAlive && answer.message.hosts.size() < maximumHostsPerMessage)
@@ -51,7 +55,7 @@
 }
 
 std::vector<outgoing_message> host_directory::advance(
-    const load_report& loads, const view_report& view, bool isUrgent, core::timestamp now)
+    const load_report& loads, const view_report& view, const far_needs& needs, core::timestamp now)
 {
     std::vector<outgoing_message> messages;
     const std::size_t before = m_contacts.size();
@@ -66,14 +70,14 @@
             continue;
         if (known.dataCentre != m_options.self.dataCentre && !isFarContact(address, known, now))
             continue;
-        if (known.sentAt && now - *known.sentAt < intervalOf(known, isUrgent, hasNewLoads, now))
+        if (known.sentAt && now - *known.sentAt < intervalOf(known, needs, hasNewLoads, now))
             continue;
         outgoing_message next { address, greeting(view, now) };
-        // A host that was only heard of does not know this one yet. An urgent question wants an answer at
-        // once.
-        next.message.wantsHosts
-            = !known.heardAt || (isUrgent && known.dataCentre != m_options.self.dataCentre);
-        if (known.dataCentre == m_options.self.dataCentre) {
+        const bool isFar = known.dataCentre != m_options.self.dataCentre;
+        // A host that was only heard of does not know this one yet. An urgent question wants an answer at once.
+        next.message.wantsHosts = !known.heardAt || (needs.reachability && isFar);
+        next.message.wantsLoads = needs.loads && isFar;
+        if (!isFar) {
             next.message.loads = loads;
             areLoadsSent = true;
         }
@@ -162,12 +166,13 @@
 }
 
 core::duration host_directory::intervalOf(
-    const contact& known, bool isUrgent, bool hasNewLoads, core::timestamp now) const
+    const contact& known, const far_needs& needs, bool hasNewLoads, core::timestamp now) const
 {
     if (!known.heardAt)
         return m_options.seedInterval;
     if (known.dataCentre != m_options.self.dataCentre)
-        return isUrgent ? m_options.urgentFarInterval : m_options.farInterval;
+        return needs.loads ? m_options.loadFarInterval
+            : needs.reachability ? m_options.urgentFarInterval : m_options.farInterval;
     if (!hasNewLoads)
         return m_options.idleInterval;
     const double spread = static_cast<double>(neighbourCount(now)) / m_options.messagesPerSecond;
--- a/src/steering/neighbour_loads.cpp
+++ b/src/steering/neighbour_loads.cpp
@@ -7,27 +7,31 @@
 
 namespace shallotcove::steering {
 
-neighbour_loads::neighbour_loads(core::duration lifetime)
-    : m_lifetime(lifetime)
+template <typename Reporter>
+neighbour_loads<Reporter>::neighbour_loads(field total, core::duration lifetime)
+    : m_total(total)
+    , m_lifetime(lifetime)
 {
 }
 
-void neighbour_loads::apply(
-    std::uint32_t hostAddress, const load_report& loads, server_directory& servers, core::timestamp now)
+template <typename Reporter>
+void neighbour_loads<Reporter>::apply(
+    const Reporter& reporter, const load_report& loads, server_directory& servers, core::timestamp now)
 {
-    dated_report& report = m_reports[hostAddress];
+    dated_report& report = m_reports[reporter];
     subtract(report.loads, servers);
     report = { {}, now };
     for (const server_load& load : loads) {
         server_record* const record = servers.find(load.server);
         if (record == nullptr)
             continue;
-        record->neighbourFlows += load.openFlows;
+        record->*m_total += load.openFlows;
         report.loads.push_back(load);
     }
 }
 
-void neighbour_loads::expire(server_directory& servers, core::timestamp now)
+template <typename Reporter>
+void neighbour_loads<Reporter>::expire(server_directory& servers, core::timestamp now)
 {
     std::erase_if(m_reports, [&](const auto& known) {
         if (now - known.second.at < m_lifetime)
@@ -37,19 +41,23 @@
     });
 }
 
-std::size_t neighbour_loads::hostsBefore(std::uint32_t hostAddress) const
+template <typename Reporter> std::size_t neighbour_loads<Reporter>::countBefore(const Reporter& reporter) const
 {
-    return static_cast<std::size_t>(std::distance(m_reports.begin(), m_reports.lower_bound(hostAddress)));
+    return static_cast<std::size_t>(std::distance(m_reports.begin(), m_reports.lower_bound(reporter)));
 }
 
-void neighbour_loads::subtract(const load_report& loads, server_directory& servers)
+template <typename Reporter>
+void neighbour_loads<Reporter>::subtract(const load_report& loads, server_directory& servers) const
 {
     for (const server_load& load : loads) {
         server_record* const record = servers.find(load.server);
         // A record that was forgotten and made anew counts from zero.
         if (record != nullptr)
-            record->neighbourFlows -= std::min(record->neighbourFlows, load.openFlows);
+            record->*m_total -= std::min(record->*m_total, load.openFlows);
     }
 }
 
+template class neighbour_loads<std::uint32_t>;
+template class neighbour_loads<std::string>;
+
 } // namespace shallotcove::steering
--- a/src/steering/placement.cpp
+++ b/src/steering/placement.cpp
@@ -60,10 +60,10 @@
 
     bool hasRoom(const server_record& server, const placement_context& context)
     {
-        const bool isNear = server.entry.dataCentre == context.options.dataCentre;
-        const double perSlot = isNear || server.neighbourFlows > 0 ? context.options.flowsPerSlot
-                                                                   : context.options.flowsPerFarSlot;
-        const double expected = server.openFlows + server.neighbourFlows
+        const bool isKnown = server.entry.dataCentre == context.options.dataCentre
+            || context.places.has(server.entry.dataCentre);
+        const double perSlot = isKnown ? context.options.flowsPerSlot : context.options.flowsPerFarSlot;
+        const double expected = server.openFlows + server.neighbourFlows + server.farFlows
             + static_cast<double>(server.freshFlows) * static_cast<double>(context.neighbours);
         return expected < perSlot * std::max(1U, server.entry.slots);
     }
@@ -100,7 +100,7 @@
 
 double queueLength(const server_record& server)
 {
-    const double load = server.openFlows + server.neighbourFlows;
+    const double load = server.openFlows + server.neighbourFlows + server.farFlows;
     const double slots = std::max(1U, server.entry.slots);
     if (load < slots)
         return busySlotsCost * load / slots;
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -24,7 +24,8 @@
     , m_random(m_options.randomSeed)
     , m_servers(m_options)
     , m_ledger(m_options.ledgerFlows)
-    , m_neighbours(m_options.neighbourLoadLifetime)
+    , m_neighbours(&server_record::neighbourFlows, m_options.neighbourLoadLifetime)
+    , m_places(&server_record::farFlows, m_options.neighbourLoadLifetime)
 {
     m_cold.setLeastHosts(m_options.assumedHosts);
 }
@@ -77,6 +78,12 @@
     m_neighbours.apply(hostAddress, loads, m_servers, now);
 }
 
+void steering_engine::applyFarLoads(
+    const std::string& dataCentre, const load_report& loads, core::timestamp now)
+{
+    m_places.apply(dataCentre, loads, m_servers, now);
+}
+
 void steering_engine::setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self, std::size_t neighbours)
 {
     m_self = self;
@@ -467,6 +474,7 @@
             end(record, now, note_kind::FlowAbandoned);
         });
         m_neighbours.expire(m_servers, now);
+        m_places.expire(m_servers, now);
         m_servers.expire(now);
     }
     return offers;
@@ -571,9 +579,9 @@
     const bool isSettling = m_startedAt && now - *m_startedAt < m_options.settling;
     const std::size_t neighbours
         = isSettling ? std::max(m_neighbourCount, m_options.assumedNeighbours) : m_neighbourCount;
-    return { m_options, m_dataCentresOut, m_dataCentres, m_cold,
-        rules == m_rules.end() ? 0.0 : rules->second->coldFlowsPerSecond, m_neighbours.hostsBefore(m_self),
-        m_neighbours.hostCount() + 1, neighbours, false, now };
+    return { m_options, m_dataCentresOut, m_dataCentres, m_places, m_cold,
+        rules == m_rules.end() ? 0.0 : rules->second->coldFlowsPerSecond, m_neighbours.countBefore(m_self),
+        m_neighbours.count() + 1, neighbours, false, now };
 }
 
 steering_note steering_engine::noteOf(
@@ -619,6 +627,16 @@
     return report;
 }
 
+load_report steering_engine::placeLoads() const
+{
+    load_report report;
+    for (const auto& [tag, known] : m_servers.all()) {
+        if (known.openFlows + known.neighbourFlows > 0)
+            report.push_back({ tag, known.openFlows + known.neighbourFlows });
+    }
+    return report;
+}
+
 double steering_engine::unreachableShare(core::timestamp now) const
 {
     double recent = 0;
--- a/src/steering/waiting_flows.cpp
+++ b/src/steering/waiting_flows.cpp
@@ -75,7 +75,8 @@
         return isLeftTimely;
     if (left.priority != right.priority)
         return left.priority < right.priority;
-    return left.arrivedAt < right.arrivedAt;
+    // Under a load that lasts, the oldest timely flow would always be answered just too late.
+    return isLeftTimely ? left.arrivedAt > right.arrivedAt : left.arrivedAt < right.arrivedAt;
 }
 
 } // namespace shallotcove::steering
--- a/src/wire/neighbour_codec.cpp
+++ b/src/wire/neighbour_codec.cpp
@@ -26,13 +26,14 @@
     {
         peer_buffer buffer;
         msgpack::packer<peer_buffer> packer(buffer);
-        packer.pack_array(8);
+        packer.pack_array(9);
         packer.pack(formatVersion);
         packer.pack(message.dataCentre.substr(0, maximumDataCentreBytes));
         packer.pack(message.storeRevision);
         packer.pack(message.isWatching);
         packer.pack(std::min(static_cast<std::uint64_t>(message.viewAge.count()), maximumAgeMs));
         packer.pack(message.wantsHosts);
+        packer.pack(message.wantsLoads);
         packer.pack_array(static_cast<std::uint32_t>(2 * hosts));
         for (std::size_t index = 0; index < hosts; ++index) {
             packer.pack(message.hosts[index].address);
@@ -80,6 +81,7 @@
         message.isWatching = reader.readFlag();
         message.viewAge = std::chrono::milliseconds { reader.readNumber(maximumAgeMs) };
         message.wantsHosts = reader.readFlag();
+        message.wantsLoads = reader.readFlag();
         array_reader hosts = reader.readArray(2 * maximumHosts);
         while (hosts.isGood() && !hosts.isComplete()) {
             const std::uint32_t address = static_cast<std::uint32_t>(hosts.readNumber(maximumWord));
