Refuse late flows early whose turn does not come

Change: the rate at which late flows get servers is measured while flows wait; those beyond it are refused at once.

--- a/include/shallotcove/steering/host_directory.hpp
+++ b/include/shallotcove/steering/host_directory.hpp
@@ -92,8 +92,8 @@
     // Commands.
 
     /// The answer, if the message asks for one.
-    std::optional<outgoing_message> handle(std::uint32_t from, const neighbour_message&, const load_report& placeLoads,
-        const view_report&, core::timestamp now);
+    std::optional<outgoing_message> handle(std::uint32_t from, const neighbour_message&,
+        const load_report& placeLoads, const view_report&, core::timestamp now);
     std::vector<outgoing_message> advance(
         const load_report&, const view_report&, const far_needs&, core::timestamp now);
     /// Whether the set of known hosts changed since the last call.
--- a/include/shallotcove/steering/neighbour_loads.hpp
+++ b/include/shallotcove/steering/neighbour_loads.hpp
@@ -13,8 +13,8 @@
 class server_directory;
 struct server_record;
 
-/// Loads that others place, added up in one field of the records of the servers. Reporter is what names a sender: a
-/// host of this data centre by its address, or another data centre as a whole by its name.
+/// Loads that others place, added up in one field of the records of the servers. Reporter is what names a
+/// sender: a host of this data centre by its address, or another data centre as a whole by its name.
 template <typename Reporter> class neighbour_loads {
 public:
     using field = std::uint32_t server_record::*;
--- a/include/shallotcove/steering/waiting_flows.hpp
+++ b/include/shallotcove/steering/waiting_flows.hpp
@@ -41,7 +41,10 @@
     void remove(const flow_address&);
     /// A flow ended that was offered this long ago.
     void recordServiceTime(core::duration);
-    /// Takes out the flows that can no longer be answered before their callers give up.
+    /// A flow that waited got a server.
+    void recordStart(const waiting_flow&, core::timestamp now);
+    /// Takes out the flows that can no longer be answered before their callers give up, and those whose turn
+    /// will not come by then at the rate at which late flows got servers of late.
     std::vector<waiting_flow> takeHopeless(core::timestamp now);
 
     // Queries.
@@ -58,10 +61,17 @@
 private:
     bool isTimely(const waiting_flow&, core::timestamp now) const;
     bool isHopeless(const waiting_flow&, core::timestamp startAt) const;
+    void measure(core::timestamp now);
+    void dropBeyondRate(std::vector<waiting_flow>& hopeless, core::timestamp now);
     bool goesBefore(const waiting_flow& left, const waiting_flow& right, core::timestamp now) const;
 
     std::vector<waiting_flow> m_flows;
     core::duration m_serviceTime;
+    /// Start of the window in which late starts are counted; none while nothing waits.
+    std::optional<core::timestamp> m_windowStart;
+    double m_lateStarts {};
+    /// From the last window that was over while flows waited all along.
+    std::optional<double> m_lateStartsPerSecond;
 };
 
 } // namespace shallotcove::steering
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -74,7 +74,8 @@
             continue;
         outgoing_message next { address, greeting(view, now) };
         const bool isFar = known.dataCentre != m_options.self.dataCentre;
-        // A host that was only heard of does not know this one yet. An urgent question wants an answer at once.
+        // A host that was only heard of does not know this one yet. An urgent question wants an answer at
+        // once.
         next.message.wantsHosts = !known.heardAt || (needs.reachability && isFar);
         next.message.wantsLoads = needs.loads && isFar;
         if (!isFar) {
@@ -171,8 +172,9 @@
     if (!known.heardAt)
         return m_options.seedInterval;
     if (known.dataCentre != m_options.self.dataCentre)
-        return needs.loads ? m_options.loadFarInterval
-            : needs.reachability ? m_options.urgentFarInterval : m_options.farInterval;
+        return needs.loads       ? m_options.loadFarInterval
+            : needs.reachability ? m_options.urgentFarInterval
+                                 : m_options.farInterval;
     if (!hasNewLoads)
         return m_options.idleInterval;
     const double spread = static_cast<double>(neighbourCount(now)) / m_options.messagesPerSecond;
--- a/src/steering/host_directory_test.cpp
+++ b/src/steering/host_directory_test.cpp
@@ -54,7 +54,8 @@
         const auto target = m_hosts.find(sent.to);
         if (target == m_hosts.end() || (isCut && placeOf(from) != placeOf(sent.to)))
             return;
-        if (const std::optional<outgoing_message> answer = target->second.handle(from, sent.message, {}, {}, now))
+        if (const std::optional<outgoing_message> answer
+            = target->second.handle(from, sent.message, {}, {}, now))
             deliver(sent.to, *answer, now, isCut);
     }
 
--- a/src/steering/neighbour_loads.cpp
+++ b/src/steering/neighbour_loads.cpp
@@ -41,7 +41,8 @@
     });
 }
 
-template <typename Reporter> std::size_t neighbour_loads<Reporter>::countBefore(const Reporter& reporter) const
+template <typename Reporter>
+std::size_t neighbour_loads<Reporter>::countBefore(const Reporter& reporter) const
 {
     return static_cast<std::size_t>(std::distance(m_reports.begin(), m_reports.lower_bound(reporter)));
 }
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -250,6 +250,7 @@
             if (placed.failure == packet_reason::Waiting)
                 break;
             waiting.remove(next->flow);
+            waiting.recordStart(*next, now);
             --m_waitingCount;
             if (record == nullptr)
                 continue;
--- a/src/steering/waiting_flows.cpp
+++ b/src/steering/waiting_flows.cpp
@@ -9,6 +9,12 @@
 
     // Weight of a new service time in the mean: follows a change within some twenty flows.
     constexpr int serviceTimeWeight = 16;
+    // Window over which late starts are counted; some ten times of a request.
+    constexpr std::chrono::milliseconds rateWindow { 500 };
+    // A backlog that shrinks leaves more and more servers to late flows, so a higher rate than measured is assumed.
+    constexpr double rateMargin = 3;
+    // Least rate assumed, one start in two seconds: longer than any caller waits to open a flow.
+    constexpr double leastStartsPerSecond = 0.5;
     // Time for the caller to get a server's answer and acknowledge it.
     constexpr std::chrono::milliseconds openingTime { 30 };
 
@@ -31,13 +37,58 @@
     m_serviceTime += (time - m_serviceTime) / serviceTimeWeight;
 }
 
+void waiting_flows::recordStart(const waiting_flow& flow, core::timestamp now)
+{
+    m_lateStarts += isTimely(flow, now) ? 0 : 1;
+}
+
+void waiting_flows::measure(core::timestamp now)
+{
+    if (m_flows.empty()) {
+        m_windowStart.reset();
+        m_lateStartsPerSecond.reset();
+        return;
+    }
+    if (m_windowStart && now - *m_windowStart < rateWindow)
+        return;
+    if (m_windowStart)
+        m_lateStartsPerSecond = m_lateStarts / std::chrono::duration<double> { now - *m_windowStart }.count();
+    m_windowStart = now;
+    m_lateStarts = 0;
+}
+
+void waiting_flows::dropBeyondRate(std::vector<waiting_flow>& hopeless, core::timestamp now)
+{
+    if (!m_lateStartsPerSecond)
+        return;
+    std::vector<waiting_flow> kept;
+    std::vector<waiting_flow> late;
+    for (const waiting_flow& flow : m_flows)
+        (isTimely(flow, now) ? kept : late).push_back(flow);
+    std::sort(late.begin(), late.end(),
+        [&](const waiting_flow& left, const waiting_flow& right) { return goesBefore(left, right, now); });
+    std::size_t keptLate = 0;
+    for (const waiting_flow& flow : late) {
+        const double ahead = static_cast<double>(keptLate + 1);
+        const double seconds = ahead / std::max(rateMargin * *m_lateStartsPerSecond, leastStartsPerSecond);
+        const core::duration wait
+            = std::chrono::duration_cast<core::duration>(std::chrono::duration<double> { seconds });
+        const bool isOver = isHopeless(flow, now + wait);
+        (isOver ? hopeless : kept).push_back(flow);
+        keptLate += isOver ? 0 : 1;
+    }
+    m_flows = std::move(kept);
+}
+
 std::vector<waiting_flow> waiting_flows::takeHopeless(core::timestamp now)
 {
+    measure(now);
     std::vector<waiting_flow> hopeless;
     const auto first = std::stable_partition(
         m_flows.begin(), m_flows.end(), [&](const waiting_flow& flow) { return !isHopeless(flow, now); });
     std::move(first, m_flows.end(), std::back_inserter(hopeless));
     m_flows.erase(first, m_flows.end());
+    dropBeyondRate(hopeless, now);
     return hopeless;
 }
 
--- a/src/steering/waiting_flows_test.cpp
+++ b/src/steering/waiting_flows_test.cpp
@@ -56,6 +56,30 @@
     cr_assert(hopeless.size() == 1 && hopeless[0].flow == flowOf(1) && waiting.size() == 1);
 }
 
+// Guards against late flows that are kept until their callers leave while timely ones take every server.
+Test(waiting_flows, late_flows_without_a_turn_are_refused_early)
+{
+    waiting_flows waiting(serviceTime);
+    for (std::uint16_t port = 1; port <= 10; ++port)
+        waiting.add(waitingFrom(port, 0, 0));
+    cr_assert(waiting.takeHopeless(at(0)).empty());
+    // Only flows that came later got servers.
+    for (double now = 100; now < 500; now += 20)
+        waiting.recordStart(waitingFrom(100, now, now), at(now));
+    cr_assert(waiting.takeHopeless(at(499)).empty(), "no rate is known yet");
+    cr_assert(waiting.takeHopeless(at(510)).size() == 10);
+    // Where late flows have their turn, as many are kept as fit.
+    waiting_flows draining(serviceTime);
+    for (std::uint16_t port = 1; port <= 40; ++port)
+        draining.add(waitingFrom(port, 0, 0));
+    cr_assert(draining.takeHopeless(at(0)).empty());
+    for (double now = 250; now < 500; now += 25)
+        draining.recordStart(waitingFrom(100, 0, 0), at(now));
+    const std::size_t refused = draining.takeHopeless(at(510)).size();
+    // Up to three times 20 a second are expected for 0.64 s, until flows that were sent at 0 would open too late.
+    cr_assert(refused >= 1 && refused <= 4, "%zu", refused);
+}
+
 // Guards against a queue that takes flows for which it has no time.
 Test(waiting_flows, flow_behind_too_many_others_cannot_be_served)
 {
