--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -138,6 +138,7 @@
     const route* findRoute(const flow_address&) const;
     const std::string* chooseService(const route&);
     placement_context contextFor(const std::string& service, core::timestamp now);
+    void addNote(steering_note);
     steering_note noteOf(note_kind, const caller_packet&, const server_record*, core::timestamp now) const;
 
     steering_options m_options;
--- /dev/null
+++ b/src/daemon/settings_reloader.cpp
@@ -0,0 +1,64 @@
+#include "settings_reloader.hpp"
+
+#include <sys/stat.h>
+#include <utility>
+
+#include <shallotcove/daemon/event_log.hpp>
+
+namespace shallotcove::daemon {
+
+namespace {
+
+    /// Whether a running process cannot take the settings: its sockets and its place are fixed.
+    bool needsRestart(const tagged_settings& before, const tagged_settings& after)
+    {
+        return after.packetAddress != before.packetAddress || after.peerAddress != before.peerAddress
+            || after.readinessAddress != before.readinessAddress
+            || after.metricsAddress != before.metricsAddress || after.storeAddress != before.storeAddress
+            || after.dataCentre != before.dataCentre;
+    }
+
+} // namespace
+
+settings_reloader::settings_reloader(
+    std::string file, const tagged_settings& current, std::function<void(log_task)> post)
+    : m_file(std::move(file))
+    , m_current(current)
+    , m_post(std::move(post))
+    , m_stamp(readStamp())
+{
+}
+
+bool settings_reloader::takeChanged()
+{
+    const std::int64_t stamp = readStamp();
+    return std::exchange(m_stamp, stamp) != stamp;
+}
+
+void settings_reloader::reload(const char* cause)
+{
+    const tl::expected<std::string, settings_problems> text = readSettingsText(m_file);
+    const tl::expected<tagged_settings, settings_problems> read
+        = text ? parseTaggedSettings(*text) : tl::unexpected(text.error());
+    if (!read) {
+        const std::string problem = formatProblem(read.error().front(), m_file);
+        return m_post(
+            [cause, problem](event_log& log) { log.write<event::SettingsRefused>(cause, problem); });
+    }
+    const bool isDeferred = needsRestart(m_current, *read);
+    const char* const outcome = *read == m_current ? "nothing" : isDeferred ? "atNextStart" : "inForce";
+    // The rest of the settings is used at the start only.
+    if (!isDeferred)
+        m_current.shutdownTimeout = read->shutdownTimeout;
+    m_post([cause, outcome](event_log& log) { log.write<event::SettingsReloaded>(cause, outcome); });
+}
+
+std::int64_t settings_reloader::readStamp() const
+{
+    struct stat status { };
+    if (m_file.empty() || ::stat(m_file.c_str(), &status) != 0)
+        return 0;
+    return status.st_mtim.tv_sec * std::int64_t { 1000000000 } + status.st_mtim.tv_nsec;
+}
+
+} // namespace shallotcove::daemon
--- a/src/daemon/tagged_host.cpp
+++ b/src/daemon/tagged_host.cpp
@@ -3,8 +3,6 @@
 #include <csignal>
 #include <deque>
 #include <optional>
-#include <random>
-#include <sys/stat.h>
 #include <thread>
 #include <variant>
 
@@ -18,9 +16,13 @@
 #include <shallotcove/daemon/tagged_channels.hpp>
 
 #include "http_responder.hpp"
+#include "settings_reloader.hpp"
 #include "store_follower.hpp"
 #include "tagged_log_worker.hpp"
+#include "tagged_metrics.hpp"
+#include "tagged_options.hpp"
 #include "tagged_packet_worker.hpp"
+#include "view_log.hpp"
 #include "wake_signal.hpp"
 
 namespace shallotcove::daemon {
@@ -49,45 +51,6 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     }
 
-    std::uint64_t randomNumber()
-    {
-        std::random_device random;
-        return (static_cast<std::uint64_t>(random()) << 32) | random();
-    }
-
-    tagged_packet_options packetOptions(const tagged_settings& settings)
-    {
-        tagged_packet_options options;
-        options.steering.dataCentre = settings.dataCentre;
-        options.steering.regions = settings.regions;
-        options.steering.randomSeed = randomNumber();
-        options.steering.ledgerFlows = settings.limits.flows;
-        options.hosts.self = { settings.peerAddress.address.toV4(), settings.dataCentre };
-        for (const core::socket_address& seed : settings.seeds) {
-            if (seed.address.isV4())
-                options.hosts.seeds.push_back(seed.address.toV4());
-        }
-        return options;
-    }
-
-    store_follower_options followerOptions(const tagged_settings& settings)
-    {
-        store_follower_options options;
-        options.address = settings.storeAddress;
-        options.randomSeed = randomNumber();
-        return options;
-    }
-
-    /// What happened to a server, as a word for the log.
-    const char* changeOf(const steering::view_update& update)
-    {
-        if (const auto* const entry = std::get_if<steering::server_entry>(&update.change.content))
-            return entry->state == steering::server_state::Ready ? "ready" : "draining";
-        if (std::holds_alternative<steering::unreadable_item>(update.change.content))
-            return "unreadable";
-        return update.isDoubtful ? "missing" : "gone";
-    }
-
 } // namespace
 
 class tagged_host::implementation {
@@ -95,8 +58,8 @@
     implementation(
         const tagged_settings& settings, std::string settingsFile, event_log& log, wake_signal wake)
         : m_settings(settings)
-        , m_settingsFile(std::move(settingsFile))
         , m_log(log)
+        , m_reloader(settingsFile, settings, [this](log_task task) { post(std::move(task)); })
         , m_wake(std::move(wake))
         , m_context(1)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
@@ -142,7 +105,6 @@
     void run()
     {
         m_follower.start();
-        m_settingsStamp = settingsStamp();
         std::thread packets([this] {
             while (!m_channels.shouldEnd.load(std::memory_order_relaxed))
                 m_packets->runOnce();
@@ -226,7 +188,7 @@
     void takeUpdates(const std::vector<steering::view_update>& updates)
     {
         for (const steering::view_update& update : updates) {
-            logUpdate(update);
+            logUpdate(update, [this](log_task task) { post(std::move(task)); });
             m_pending.push_back(update);
         }
         m_pending.push_back(view_state { m_view.isComplete(), m_view.revision() });
@@ -242,38 +204,6 @@
         m_wake.raise();
     }
 
-    void logUpdate(const steering::view_update& update)
-    {
-        const steering::store_change& change = update.change;
-        if (const auto* const item = std::get_if<steering::unreadable_item>(&change.content))
-            post([key = change.key.toString(), cause = item->cause, revision = change.revision](
-                     event_log& log) { log.write<event::StoreItemUnreadable>(key, cause, revision); });
-        if (const auto* const config = std::get_if<steering::routing_config>(&change.content))
-            post([version = config->version, revision = change.revision, routes = config->routes.size(),
-                     services = config->services.size()](event_log& log) {
-                log.write<event::ConfigInForce>(version, revision, routes, services);
-            });
-        if (change.key.kind == steering::item_kind::DataCentreOut)
-            post([name = change.key.name, revision = change.revision,
-                     isOut = std::holds_alternative<steering::data_centre_out>(change.content)](
-                     event_log& log) {
-                log.write<event::DataCentreOutChanged>(name, isOut ? "true" : "false", revision);
-            });
-        if (change.key.kind == steering::item_kind::Server)
-            logServer(update);
-    }
-
-    void logServer(const steering::view_update& update)
-    {
-        const auto* const known = std::get_if<steering::server_entry>(&update.change.content);
-        const steering::server_entry entry = known == nullptr ? steering::server_entry {} : *known;
-        post([entry, change = changeOf(update), id = update.change.key.name,
-                 revision = update.change.revision](event_log& log) {
-            log.write<event::ServerChanged>(id, change, entry.service, entry.address.toString(),
-                entry.dataCentre, revision, entry.coldFor.count(), entry.startedAtMs);
-        });
-    }
-
     http_reply readinessReply() const
     {
         const steering::readiness_state state = m_channels.isStopping.load(std::memory_order_relaxed)
@@ -295,46 +225,10 @@
 
     http_reply metricsReply()
     {
-        refreshMetrics();
+        refreshMetrics(*m_metrics, m_channels, m_follower.callCount(), m_view.revision());
         return { 200, "text/plain; version=0.0.4", m_metrics->text() };
     }
 
-    void refreshMetrics()
-    {
-        const tagged_counters& counters = m_channels.counters;
-        const auto total
-            = [](const relaxed_counter& counter) { return static_cast<double>(counter.value()); };
-        m_metrics->raiseTo(metric::PacketsReceived, { "caller" }, total(counters.fromCallers));
-        m_metrics->raiseTo(metric::PacketsReceived, { "neighbour" }, total(counters.fromNeighbours));
-        m_metrics->raiseTo(metric::PacketsForwarded, {}, total(counters.forwarded));
-        for (std::size_t index = 0; index < counters.refused.size(); ++index) {
-            const char* const reason = textOf(static_cast<steering::packet_reason>(index));
-            if (counters.refused[index].value() > 0)
-                m_metrics->raiseTo(metric::PacketsRefused, { reason }, total(counters.refused[index]));
-            if (counters.dropped[index].value() > 0)
-                m_metrics->raiseTo(metric::PacketsDropped, { reason }, total(counters.dropped[index]));
-        }
-        double malformed = 0;
-        for (const relaxed_counter& counter : counters.malformed)
-            malformed += total(counter);
-        m_metrics->raiseTo(metric::PacketsDropped, { "malformed" }, malformed);
-        m_metrics->raiseTo(
-            metric::PacketsDropped, { "malformedNeighbour" }, total(counters.malformedNeighbours));
-        m_metrics->raiseTo(metric::PacketsDropped, { "sendFailed" }, total(counters.sendFailed));
-        m_metrics->set(metric::LocalFlows, {}, static_cast<double>(counters.flows.load()));
-        m_metrics->set(metric::KnownHosts, {}, static_cast<double>(counters.hosts.load()));
-        m_metrics->raiseTo(metric::StoreCalls, {}, static_cast<double>(m_follower.callCount()));
-        m_metrics->set(metric::ConfigIndex, {}, static_cast<double>(m_view.revision()));
-        m_metrics->raiseTo(metric::RingDropped, { "notes" }, static_cast<double>(m_channels.notes.dropped()));
-        m_metrics->raiseTo(
-            metric::RingDropped, { "logTasks" }, static_cast<double>(m_channels.logTasks.dropped()));
-        const steering::readiness_state current = m_channels.readiness.load();
-        for (const steering::readiness_state state :
-            { steering::readiness_state::Starting, steering::readiness_state::Ready,
-                steering::readiness_state::Isolated, steering::readiness_state::Stopping })
-            m_metrics->set(metric::Readiness, { textOf(state) }, state == current ? 1 : 0);
-    }
-
     void tick()
     {
         const core::timestamp now = monotonicNow();
@@ -343,9 +237,8 @@
         checkLag(now);
         if (now >= m_nextSettingsCheck) {
             m_nextSettingsCheck = now + settingsInterval;
-            const std::int64_t stamp = settingsStamp();
-            if (std::exchange(m_settingsStamp, stamp) != stamp)
-                reload("fileChanged");
+            if (m_reloader.takeChanged())
+                m_reloader.reload("fileChanged");
         }
         const std::uint64_t hosts = m_channels.counters.hosts.load(std::memory_order_relaxed);
         if (std::exchange(m_hostsLogged, hosts) != hosts)
@@ -404,51 +297,20 @@
             if (error)
                 return;
             if (number == SIGHUP)
-                reload("SIGHUP");
+                m_reloader.reload("SIGHUP");
             else
                 beginShutdown();
             waitForSignal();
         });
     }
 
-    void reload(const char* cause)
-    {
-        const tl::expected<std::string, settings_problems> text = readSettingsText(m_settingsFile);
-        const tl::expected<tagged_settings, settings_problems> read
-            = text ? parseTaggedSettings(*text) : tl::unexpected(text.error());
-        if (!read) {
-            const std::string problem = formatProblem(read.error().front(), m_settingsFile);
-            return post(
-                [cause, problem](event_log& log) { log.write<event::SettingsRefused>(cause, problem); });
-        }
-        const bool isChanged = !(*read == m_settings);
-        const bool needsRestart = isChanged
-            && (read->packetAddress != m_settings.packetAddress || read->peerAddress != m_settings.peerAddress
-                || read->readinessAddress != m_settings.readinessAddress
-                || read->metricsAddress != m_settings.metricsAddress
-                || read->storeAddress != m_settings.storeAddress
-                || read->dataCentre != m_settings.dataCentre);
-        const char* const outcome = !isChanged ? "nothing" : needsRestart ? "atNextStart" : "inForce";
-        if (isChanged && !needsRestart)
-            m_settings.shutdownTimeout = read->shutdownTimeout;
-        post([cause, outcome](event_log& log) { log.write<event::SettingsReloaded>(cause, outcome); });
-    }
-
-    std::int64_t settingsStamp() const
-    {
-        struct stat status { };
-        if (m_settingsFile.empty() || ::stat(m_settingsFile.c_str(), &status) != 0)
-            return 0;
-        return status.st_mtim.tv_sec * std::int64_t { 1000000000 } + status.st_mtim.tv_nsec;
-    }
-
     void beginShutdown()
     {
         if (m_shutdownBegan)
             return;
         m_shutdownBegan = monotonicNow();
         m_channels.isStopping.store(true);
-        post([timeout = m_settings.shutdownTimeout](event_log& log) {
+        post([timeout = m_reloader.current().shutdownTimeout](event_log& log) {
             log.write<event::ShutdownStarted>(
                 "SIGTERM", std::chrono::duration_cast<std::chrono::seconds>(timeout).count());
         });
@@ -460,7 +322,7 @@
         const core::duration elapsed = now - *m_shutdownBegan;
         const core::timestamp last { core::duration { m_channels.lastCallerPacket.load() } };
         const bool isQuiet = elapsed >= leastShutdown && now - last >= quietBeforeEnd;
-        if (!isQuiet && elapsed < m_settings.shutdownTimeout)
+        if (!isQuiet && elapsed < m_reloader.current().shutdownTimeout)
             return false;
         post([isQuiet, elapsed, flows = m_channels.counters.flows.load()](event_log& log) {
             log.write<event::TaggedShutdown>(isQuiet ? "quiet" : "timeout", milliseconds(elapsed), flows);
@@ -471,10 +333,10 @@
     }
 
     tagged_settings m_settings;
-    std::string m_settingsFile;
     event_log& m_log;
-    wake_signal m_wake;
     tagged_channels m_channels;
+    settings_reloader m_reloader;
+    wake_signal m_wake;
     std::unique_ptr<metrics> m_metrics { metrics::createUnserved() };
     asio::io_context m_context;
     asio::signal_set m_signals;
@@ -488,7 +350,6 @@
     std::unique_ptr<tagged_packet_worker> m_packets;
     tagged_host_addresses m_addresses;
     std::deque<knowledge_update> m_pending;
-    std::int64_t m_settingsStamp {};
     core::timestamp m_nextSettingsCheck;
     std::uint64_t m_hostsLogged {};
     bool m_isWatchingStore { true };
--- /dev/null
+++ b/src/daemon/tagged_host_test.cpp
@@ -0,0 +1,204 @@
+#include <shallotcove/daemon/tagged_host.hpp>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <criterion/criterion.h>
+
+#include <platform/packet_layout.hpp>
+#include <platform/testing/store_standin.hpp>
+
+#include <shallotcove/daemon/udp_socket.hpp>
+#include <shallotcove/store/http_exchange.hpp>
+
+#include "host_fixture.hpp"
+
+namespace asio = boost::asio;
+namespace core = shallotcove::core;
+namespace daemon_ns = shallotcove::daemon;
+namespace platform = shallotcove::platform;
+namespace steering = shallotcove::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+core::socket_address addressOf(const std::string& text) { return *core::socket_address::parse(text); }
+
+unsigned statusOf(const core::socket_address& address)
+{
+    asio::io_context context;
+    unsigned status = 0;
+    shallotcove::store::exchangeHttp(
+        context, address, { boost::beast::http::verb::get, "/", {} }, { 1000ms, 1000ms }, [] {},
+        [&status](
+            const tl::expected<shallotcove::store::http_answer, shallotcove::store::http_error>& answer) {
+            status = answer ? answer->status : 0;
+        });
+    context.run();
+    return status;
+}
+
+/// A store in a thread, and a host with its settings in a file.
+class running_pair {
+public:
+    running_pair()
+        : m_store(std::move(*platform::testing::store_standin::create(m_context)))
+    {
+        const std::string pattern = "/tmp/tagged-host-test-" + std::to_string(::getpid()) + "-";
+        static int number = 0;
+        m_file = pattern + std::to_string(++number) + ".json";
+        m_log = m_file + ".log";
+        m_settings.name = "h1";
+        m_settings.dataCentre = "a";
+        m_settings.packetAddress = m_settings.readinessAddress = m_settings.peerAddress
+            = m_settings.metricsAddress = addressOf("127.0.0.1:0");
+        m_settings.storeAddress = m_store->address();
+        daemon_ns::log_settings log;
+        log.file = m_log;
+        m_eventLog = std::move(*daemon_ns::event_log::create(log, "h1"));
+        m_host = std::move(*daemon_ns::tagged_host::create(m_settings, m_file, *m_eventLog));
+        m_storeThread = std::thread([this] {
+            const auto guard = asio::make_work_guard(m_context);
+            m_context.run();
+        });
+        m_hostThread = std::thread([this] { m_host->run(); });
+    }
+
+    ~running_pair()
+    {
+        stop();
+        m_context.stop();
+        m_storeThread.join();
+        ::unlink(m_file.c_str());
+        ::unlink(m_log.c_str());
+    }
+
+    void stop()
+    {
+        m_host->stop();
+        if (m_hostThread.joinable())
+            m_hostThread.join();
+    }
+
+    /// Runs work on the thread of the store.
+    template <typename Work> void withStore(Work work)
+    {
+        asio::post(m_context, [this, work] { work(*m_store); });
+    }
+
+    bool becomes(unsigned status)
+    {
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            if (statusOf(m_host->addresses().readiness) == status)
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
+    bool logs(const std::string& text)
+    {
+        for (int attempt = 0; attempt < 200; ++attempt) {
+            std::ifstream file(m_log);
+            const std::string lines { std::istreambuf_iterator<char>(file), {} };
+            if (lines.find(text) != std::string::npos)
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
+    void writeSettings(const std::string& text) { std::ofstream(m_file) << text; }
+    daemon_ns::tagged_host& host() { return *m_host; }
+
+private:
+    asio::io_context m_context;
+    std::unique_ptr<platform::testing::store_standin> m_store;
+    std::string m_file;
+    std::string m_log;
+    daemon_ns::tagged_settings m_settings;
+    std::unique_ptr<daemon_ns::event_log> m_eventLog;
+    std::unique_ptr<daemon_ns::tagged_host> m_host;
+    std::thread m_storeThread;
+    std::thread m_hostThread;
+};
+
+std::array<std::byte, platform::packetHeaderBytes> openingTo(std::uint16_t port)
+{
+    steering::caller_packet packet;
+    packet.flow = { 0x7f000002, 0xc6120001, 40001, port };
+    packet.isOpening = true;
+    packet.sequence = 5;
+    std::array<std::byte, platform::packetHeaderBytes> bytes {};
+    platform::writeOpening(packet, bytes);
+    return bytes;
+}
+
+void send(const daemon_ns::udp_socket& from, const core::socket_address& to, std::span<const std::byte> bytes)
+{
+    const daemon_ns::native_address native = daemon_ns::toNative(to);
+    cr_assert(::sendto(from.descriptor(), bytes.data(), bytes.size(), 0,
+                  reinterpret_cast<const sockaddr*>(&native.storage), native.length)
+        == static_cast<ssize_t>(bytes.size()));
+}
+
+std::size_t received(const daemon_ns::udp_socket& socket, std::span<std::byte> buffer)
+{
+    if (!socket.waitReadable(2000))
+        return 0;
+    const ssize_t size = ::recv(socket.descriptor(), buffer.data(), buffer.size(), 0);
+    return size < 0 ? 0 : static_cast<std::size_t>(size);
+}
+
+} // namespace
+
+// Guards against a host whose parts work alone but not together: first packet, refusal, readiness, shutdown.
+Test(tagged_host, carries_a_flow_and_stops)
+{
+    running_pair running;
+    const core::socket_address packets = running.host().addresses().packets;
+    const daemon_ns::udp_socket server = *daemon_ns::udp_socket::bind(addressOf("127.0.0.1:0"));
+    const daemon_ns::udp_socket caller
+        = *daemon_ns::udp_socket::bind(addressOf("127.0.0.2:" + std::to_string(packets.port)));
+    cr_assert(statusOf(running.host().addresses().readiness) == 503);
+    running.withStore([address = server.address()](platform::testing::store_standin& store) {
+        store.putServer("i-ab12", address);
+        store.putConfig(3, addressOf("198.18.0.1:443"));
+    });
+    cr_assert(running.becomes(200));
+    send(caller, packets, openingTo(443));
+    std::array<std::byte, 2048> buffer {};
+    cr_assert(received(server, buffer) == platform::serverPrefixBytes + platform::packetHeaderBytes);
+    cr_assert(buffer[6] == std::byte { 0xab } && buffer[7] == std::byte { 0x12 });
+    const tl::expected<steering::caller_packet, platform::packet_error> arrived = platform::decodePacket(
+        std::span(buffer).subspan(platform::serverPrefixBytes, platform::packetHeaderBytes));
+    cr_assert(arrived && arrived->tag == steering::tagOf("i-ab12") && arrived->isOpening);
+    send(caller, packets, openingTo(80));
+    cr_assert(received(caller, buffer) == platform::packetHeaderBytes);
+    cr_assert(buffer[26] == std::byte { 16 }, "a reset");
+    cr_assert(statusOf(running.host().addresses().metrics) == 200);
+    cr_assert(running.logs("\"name\":\"FlowPlaced\"") && running.logs("\"name\":\"FlowRefused\""));
+    running.stop();
+    cr_assert(running.logs("\"cause\":\"quiet\""));
+}
+
+// Guards against a process that ends at SIGHUP, or takes settings with a mistake.
+Test(tagged_host, settings_are_read_again)
+{
+    running_pair running;
+    running.writeSettings("{ \"transport\": \"tagged\", ");
+    cr_assert(running.logs("\"name\":\"SettingsRefused\""));
+    std::raise(SIGHUP);
+    running.writeSettings(
+        R"({"transport":"tagged","name":"h1","dataCentre":"a","packetAddress":"127.0.0.1:1",)"
+        R"("readinessAddress":"127.0.0.1:2","peerAddress":"127.0.0.1:3",)"
+        R"("metricsAddress":"127.0.0.1:4","storeAddress":"127.0.0.1:5"})");
+    std::raise(SIGHUP);
+    cr_assert(running.logs("\"changed\":\"atNextStart\""));
+}
--- /dev/null
+++ b/src/daemon/view_log.cpp
@@ -0,0 +1,53 @@
+#include "view_log.hpp"
+
+#include <variant>
+
+#include <shallotcove/daemon/event_log.hpp>
+
+namespace shallotcove::daemon {
+
+namespace {
+
+    /// What happened to a server, as a word for the log.
+    const char* changeOf(const steering::view_update& update)
+    {
+        if (const auto* const entry = std::get_if<steering::server_entry>(&update.change.content))
+            return entry->state == steering::server_state::Ready ? "ready" : "draining";
+        if (std::holds_alternative<steering::unreadable_item>(update.change.content))
+            return "unreadable";
+        return update.isDoubtful ? "missing" : "gone";
+    }
+
+    void logServer(const steering::view_update& update, const std::function<void(log_task)>& post)
+    {
+        const auto* const known = std::get_if<steering::server_entry>(&update.change.content);
+        const steering::server_entry entry = known == nullptr ? steering::server_entry {} : *known;
+        post([entry, change = changeOf(update), id = update.change.key.name,
+                 revision = update.change.revision](event_log& log) {
+            log.write<event::ServerChanged>(id, change, entry.service, entry.address.toString(),
+                entry.dataCentre, revision, entry.coldFor.count(), entry.startedAtMs);
+        });
+    }
+
+} // namespace
+
+void logUpdate(const steering::view_update& update, const std::function<void(log_task)>& post)
+{
+    const steering::store_change& change = update.change;
+    if (const auto* const item = std::get_if<steering::unreadable_item>(&change.content))
+        post([key = change.key.toString(), cause = item->cause, revision = change.revision](
+                 event_log& log) { log.write<event::StoreItemUnreadable>(key, cause, revision); });
+    if (const auto* const config = std::get_if<steering::routing_config>(&change.content))
+        post([version = config->version, revision = change.revision, routes = config->routes.size(),
+                 services = config->services.size()](
+                 event_log& log) { log.write<event::ConfigInForce>(version, revision, routes, services); });
+    if (change.key.kind == steering::item_kind::DataCentreOut)
+        post([name = change.key.name, revision = change.revision,
+                 isOut = std::holds_alternative<steering::data_centre_out>(change.content)](event_log& log) {
+            log.write<event::DataCentreOutChanged>(name, isOut ? "true" : "false", revision);
+        });
+    if (change.key.kind == steering::item_kind::Server)
+        logServer(update, post);
+}
+
+} // namespace shallotcove::daemon
--- /dev/null
+++ b/src/steering/steering_engine_openings.cpp
@@ -0,0 +1,250 @@
+#include <shallotcove/steering/steering_engine.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <shallotcove/steering/routing_config.hpp>
+
+namespace shallotcove::steering {
+
+packet_decision steering_engine::handleOpening(const caller_packet& packet, core::timestamp now)
+{
+    // A caller can only send an acknowledgement after the opening packet, so this is no caller's packet.
+    if (packet.isAcknowledging || packet.isReset || packet.isClosing)
+        return { packet_action::Drop, packet_reason::UnknownServer, {}, {}, {} };
+    flow_record* record = m_ledger.find(packet.flow);
+    if (record != nullptr && record->opening.sequence != packet.sequence) {
+        // The caller uses the port for a new flow.
+        forget(packet.flow);
+        record = nullptr;
+    }
+    if (record != nullptr && record->state == flow_state::Waiting) {
+        record->lastPacketAt = now;
+        return { packet_action::Drop, packet_reason::Waiting, {}, {}, {} };
+    }
+    if (record != nullptr && record->state != flow_state::Opening)
+        return { packet_action::Drop, packet_reason::StaleCopy, {}, {}, {} };
+    if (!m_isInformed || m_config == nullptr)
+        return { packet_action::Drop, packet_reason::NotReady, {}, {}, {} };
+    const route* const target = findRoute(packet.flow);
+    if (target == nullptr) {
+        forget(packet.flow);
+        return refuse(packet, packet_reason::NoRoute, {}, now);
+    }
+    if (record != nullptr) {
+        record->lastPacketAt = now;
+        return offerAgain(*record, *target, now);
+    }
+    const std::string* const service = chooseService(*target);
+    if (service == nullptr)
+        return refuse(packet, packet_reason::NoServer, {}, now);
+    countTraffic(*service, now);
+    const placement placed = place(*service, nullptr, *target, true, now);
+    if (placed.failure == packet_reason::Waiting
+        || (placed.server != nullptr && !waitingFor(*service).isEmpty()))
+        return hold(packet, *target, *service, placed, now);
+    return carryOut(placed, packet, *target, now);
+}
+
+packet_decision steering_engine::offerAgain(flow_record& record, const route& target, core::timestamp now)
+{
+    const server_record* const former = m_servers.find(record.server);
+    // The route may lead elsewhere since the flow was first offered.
+    const bool isStillTarget = former != nullptr
+        && std::any_of(target.targets.begin(), target.targets.end(), [former](const weighted_service& entry) {
+               return entry.weight > 0 && entry.service == former->entry.service;
+           });
+    const std::string* const service = isStillTarget ? &former->entry.service : chooseService(target);
+    const caller_packet opening = record.opening;
+    if (service == nullptr) {
+        forget(opening.flow);
+        return refuse(opening, packet_reason::NoServer, {}, now);
+    }
+    countTraffic(*service, now);
+    return carryOut(place(*service, &record, target, false, now), opening, target, now);
+}
+
+placement steering_engine::place(const std::string& service, const flow_record* record, const route& target,
+    bool isLimited, core::timestamp now)
+{
+    static const std::vector<server_tag> none;
+    placement_context context = contextFor(service, now);
+    context.isLimited = isLimited;
+    return placeFlow(
+        m_servers.serversOf(service), record != nullptr ? record->offered : none, target, context);
+}
+
+packet_decision steering_engine::hold(const caller_packet& packet, const route& target,
+    const std::string& service, const placement& placed, core::timestamp now)
+{
+    waiting_flows& waiting = waitingFor(service);
+    const core::timestamp sentAt = now - packet.age;
+    const bool hasTimeout = target.timeout > std::chrono::milliseconds::zero();
+    const core::duration timeout = hasTimeout ? core::duration(target.timeout) : m_options.idleFlow;
+    const waiting_flow entry { packet.flow, target.priority, now, sentAt + target.latencyGoal,
+        sentAt + m_options.openingTimeout, sentAt + timeout };
+    flow_record* const record
+        = m_waitingCount < m_options.waitingFlows && waiting.canServe(entry, flowsAtOnce(service), now)
+        ? m_ledger.add(packet.flow)
+        : nullptr;
+    if (record == nullptr)
+        return refuse(packet, packet_reason::Overload, placed, now);
+    record->state = flow_state::Waiting;
+    record->opening = packet;
+    record->startedAt = now;
+    record->lastPacketAt = now;
+    record->openUntil = entry.openUntil;
+    record->idleLimit = timeout;
+    waiting.add(entry);
+    ++m_waitingCount;
+    steering_note note = noteOf(note_kind::FlowWaiting, packet, nullptr, now);
+    note.subject = target.name;
+    note.permitted = placed.permitted;
+    note.trusted = placed.trusted;
+    addNote(std::move(note));
+    return { packet_action::Drop, packet_reason::Waiting, {}, {}, {} };
+}
+
+double steering_engine::flowsAtOnce(const std::string& service) const
+{
+    double slots = 0;
+    for (const server_record* const server : m_servers.serversOf(service)) {
+        if (server->entry.state == server_state::Ready
+            && !m_dataCentresOut.contains(server->entry.dataCentre))
+            slots += std::max(1U, server->entry.slots);
+    }
+    return slots * m_options.flowsPerSlot / static_cast<double>(std::max<std::size_t>(1, m_hostCount));
+}
+
+std::vector<delayed_offer> steering_engine::startWaiting(core::timestamp now)
+{
+    std::vector<delayed_offer> offers;
+    for (auto& [service, waiting] : m_waiting) {
+        for (const waiting_flow& hopeless : waiting.takeHopeless(now)) {
+            --m_waitingCount;
+            const flow_record* const record = m_ledger.find(hopeless.flow);
+            if (record == nullptr)
+                continue;
+            const caller_packet opening = record->opening;
+            m_ledger.erase(hopeless.flow);
+            offers.push_back({ opening, refuse(opening, packet_reason::Overload, {}, now) });
+        }
+        while (const std::optional<waiting_flow> next = waiting.next(now)) {
+            const flow_record* const record = m_ledger.find(next->flow);
+            const route* const target = findRoute(next->flow);
+            const placement placed = record != nullptr && target != nullptr
+                ? place(service, nullptr, *target, true, now)
+                : placement {};
+            if (placed.failure == packet_reason::Waiting)
+                break;
+            waiting.remove(next->flow);
+            waiting.recordStart(*next, now);
+            --m_waitingCount;
+            if (record == nullptr)
+                continue;
+            const caller_packet opening = record->opening;
+            if (target == nullptr) {
+                m_ledger.erase(next->flow);
+                offers.push_back({ opening, refuse(opening, packet_reason::NoRoute, {}, now) });
+                continue;
+            }
+            offers.push_back({ opening, carryOut(placed, opening, *target, now) });
+        }
+    }
+    return offers;
+}
+
+packet_decision steering_engine::carryOut(
+    const placement& placed, const caller_packet& packet, const route& target, core::timestamp now)
+{
+    if (placed.server == nullptr) {
+        forget(packet.flow);
+        return refuse(packet, placed.failure, placed, now);
+    }
+    server_record& server = *placed.server;
+    flow_record* record = m_ledger.find(packet.flow);
+    const bool isFirst = record == nullptr || record->state == flow_state::Waiting;
+    steering_note note
+        = noteOf(isFirst ? note_kind::FlowPlaced : note_kind::FlowPlacedAgain, packet, &server, now);
+    note.subject = target.name;
+    note.permitted = placed.permitted;
+    note.trusted = placed.trusted;
+    server.evidence.recordPlacement(now);
+    m_dataCentres[server.entry.dataCentre].recordPlacement(now);
+    ++server.freshFlows;
+    if (record == nullptr) {
+        record = m_ledger.add(packet.flow);
+        if (record != nullptr) {
+            record->startedAt = now;
+            record->lastPacketAt = now;
+            record->opening = packet;
+            record->openUntil = now - packet.age + m_options.openingTimeout;
+            record->idleLimit = target.timeout > std::chrono::milliseconds::zero()
+                ? core::duration(target.timeout)
+                : m_options.idleFlow;
+        }
+    }
+    if (record != nullptr) {
+        note.elapsed = now - record->startedAt;
+        release(*record);
+        record->state = flow_state::Opening;
+        record->offered.push_back(server.tag);
+        record->offeredAt = now;
+        count(*record, server);
+        note.attempt = static_cast<std::uint32_t>(record->offered.size());
+        m_deadlines.push({ now + m_openings.patience(server.entry.dataCentre, m_options), packet.flow, now });
+    }
+    addNote(std::move(note));
+    return forwardTo(server, now);
+}
+
+waiting_flows& steering_engine::waitingFor(const std::string& service)
+{
+    return m_waiting.try_emplace(service, m_options.firstServiceTime).first->second;
+}
+
+packet_decision steering_engine::refuse(
+    const caller_packet& packet, packet_reason reason, const placement& placed, core::timestamp now)
+{
+    steering_note note = noteOf(note_kind::FlowRefused, packet, nullptr, now);
+    note.reason = reason;
+    note.permitted = placed.permitted;
+    note.trusted = placed.trusted;
+    addNote(std::move(note));
+    return { packet_action::Refuse, reason, {}, {}, {} };
+}
+
+const route* steering_engine::findRoute(const flow_address& flow) const
+{
+    const auto found = m_routes.find({ flow.serviceAddress, flow.servicePort });
+    return found == m_routes.end() ? nullptr : found->second;
+}
+
+const std::string* steering_engine::chooseService(const route& target)
+{
+    std::uint64_t total = 0;
+    for (const weighted_service& entry : target.targets)
+        total += entry.weight;
+    if (total == 0)
+        return nullptr;
+    std::uint64_t point = m_random(static_cast<std::uint32_t>(total));
+    for (const weighted_service& entry : target.targets) {
+        if (point < entry.weight)
+            return &entry.service;
+        point -= entry.weight;
+    }
+    return nullptr;
+}
+
+placement_context steering_engine::contextFor(const std::string& service, core::timestamp now)
+{
+    const auto rules = m_rules.find(service);
+    const bool isSettling = m_startedAt && now - *m_startedAt < m_options.settling;
+    const std::size_t neighbours
+        = isSettling ? std::max(m_neighbourCount, m_options.assumedNeighbours) : m_neighbourCount;
+    return { m_options, m_dataCentresOut, m_dataCentres, m_places, m_cold,
+        rules == m_rules.end() ? 0.0 : rules->second->coldFlowsPerSecond, m_neighbours.countBefore(m_self),
+        m_neighbours.count() + 1, neighbours, false, now };
+}
+
+} // namespace shallotcove::steering
--- a/src/steering/waiting_flows.cpp
+++ b/src/steering/waiting_flows.cpp
@@ -11,7 +11,8 @@
     constexpr int serviceTimeWeight = 16;
     // Window over which late starts are counted; some ten times of a request.
     constexpr std::chrono::milliseconds rateWindow { 500 };
-    // A backlog that shrinks leaves more and more servers to late flows, so a higher rate than measured is assumed.
+    // A backlog that shrinks leaves more and more servers to late flows, so a higher rate than measured is
+    // assumed.
     constexpr double rateMargin = 3;
     // Least rate assumed, one start in two seconds: longer than any caller waits to open a flow.
     constexpr double leastStartsPerSecond = 0.5;
--- a/src/steering/waiting_flows_test.cpp
+++ b/src/steering/waiting_flows_test.cpp
@@ -76,7 +76,8 @@
     for (double now = 250; now < 500; now += 25)
         draining.recordStart(waitingFrom(100, 0, 0), at(now));
     const std::size_t refused = draining.takeHopeless(at(510)).size();
-    // Up to three times 20 a second are expected for 0.64 s, until flows that were sent at 0 would open too late.
+    // Up to three times 20 a second are expected for 0.64 s, until flows that were sent at 0 would open too
+    // late.
     cr_assert(refused >= 1 && refused <= 4, "%zu", refused);
 }
 
