Drop opening packets that waited while the host stood still

Change: a round that comes a second late, by the clock that counts suspension too, drops opening packets of that round and forgets flows that were not open. Ruled out: judging by the age of a packet, which it does not carry beyond its copies. Test: pause_of_the_host_is_no_evidence.

--- a/include/shallotcove/daemon/event.hpp
+++ b/include/shallotcove/daemon/event.hpp
@@ -67,6 +67,7 @@
     KnownHostsChanged = 610,
     LogLinesDropped = 611,
     FlowWaiting = 612,
+    HostPaused = 613,
 };
 
 /// One row of the table of events.
@@ -205,6 +206,8 @@
     event_definition { event::FlowWaiting, "FlowWaiting", log_level::Info,
         "no server has room, the flow waits at the host",
         { "flow", "route", "permitted", "trusted", "configVersion" } },
+    event_definition { event::HostPaused, "HostPaused", log_level::Warning,
+        "host stood still, opening packets of that time are dropped", { "milliseconds" } },
 };
 
 constexpr const event_definition& definitionOf(event id)
--- a/include/shallotcove/daemon/tagged_channels.hpp
+++ b/include/shallotcove/daemon/tagged_channels.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <variant>
@@ -36,8 +37,13 @@
     int unreachablePercent {};
 };
 
+/// The host stood still, for the log.
+struct host_pause {
+    std::chrono::milliseconds length {};
+};
+
 /// From the packet thread to the log thread.
-using packet_note = std::variant<steering::steering_note, readiness_change>;
+using packet_note = std::variant<steering::steering_note, readiness_change, host_pause>;
 
 /// Counters of the packet thread.
 struct tagged_counters {
--- a/include/shallotcove/steering/packet_decision.hpp
+++ b/include/shallotcove/steering/packet_decision.hpp
@@ -28,6 +28,8 @@
     UnknownServer,
     /// No server has room; the flow waits for one.
     Waiting,
+    /// An opening packet that waited in the socket while the host stood still.
+    Outdated,
     /// The flow ends in a data centre that was taken out some time ago.
     DataCentreOut,
 };
--- a/src/daemon/tagged_log_worker.cpp
+++ b/src/daemon/tagged_log_worker.cpp
@@ -74,7 +74,7 @@
             if (mayWrite())
                 write(*steering);
         } else if (mayWrite()) {
-            write(std::get<readiness_change>(*note));
+            std::visit([this](const auto& known) { write(known); }, *note);
         }
     }
     return true;
@@ -97,6 +97,11 @@
     m_log.write<event::LogLinesDropped>(dropped);
 }
 
+void tagged_log_worker::write(const host_pause& pause)
+{
+    m_log.write<event::HostPaused>(pause.length.count());
+}
+
 void tagged_log_worker::write(const readiness_change& change)
 {
     m_log.write<event::ReadinessChanged>(textOf(change.from), textOf(change.to), change.unreachablePercent);
--- a/src/daemon/tagged_log_worker.hpp
+++ b/src/daemon/tagged_log_worker.hpp
@@ -24,6 +24,7 @@
     bool writeTasks();
     void write(const steering::steering_note&);
     void write(const readiness_change&);
+    void write(const host_pause&);
     void count(const steering::steering_note&);
     /// Whether the limit allows one more line.
     bool mayWrite();
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <optional>
 #include <poll.h>
 #include <utility>
@@ -20,6 +21,8 @@
 namespace {
 
     constexpr std::size_t knowledgePerRound = 256;
+    // By then callers have repeated their first packets, and routers have begun to use other hosts.
+    constexpr std::chrono::milliseconds shortestPause { 1000 };
     // After flows had to wait, loads of other data centres are asked for so long.
     constexpr std::chrono::milliseconds loadInterest { 500 };
     // Under a flood, timed work is done at least this often.
@@ -59,6 +62,7 @@
     void runOnce()
     {
         wait();
+        noticePause();
         // What is due is judged by what had arrived by then.
         const core::timestamp due = monotonicNow();
         takeKnowledge();
@@ -91,6 +95,23 @@
             m_wake.clear();
     }
 
+    /// A thread that waits for at most an interval and comes back much later stood still, also if the machine
+    /// was suspended, which only this clock counts.
+    void noticePause()
+    {
+        timespec time {};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        const std::chrono::nanoseconds now
+            = std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
+        const std::chrono::nanoseconds before = std::exchange(m_lastRound, now);
+        m_isAfterPause = before.count() > 0 && now - before >= shortestPause;
+        if (!m_isAfterPause)
+            return;
+        m_engine.handlePause(monotonicNow());
+        m_channels.notes.push(
+            host_pause { std::chrono::duration_cast<std::chrono::milliseconds>(now - before) });
+    }
+
     void takeKnowledge()
     {
         for (std::size_t index = 0; index < knowledgePerRound; ++index) {
@@ -149,6 +170,8 @@
                 = platform::decodePacket(bytes);
             if (!packet)
                 count(m_channels.counters.malformed, packet.error());
+            else if (m_isAfterPause && packet->isOpening)
+                count(m_channels.counters.dropped, steering::packet_reason::Outdated);
             else
                 carryOut(index, bytes, *packet, m_engine.handlePacket(*packet, now));
         }
@@ -350,6 +373,9 @@
     std::size_t m_neighbourCount {};
     /// When flows waited last.
     std::optional<core::timestamp> m_waitedAt;
+    /// Time since the machine's start, suspension included, at the last round.
+    std::chrono::nanoseconds m_lastRound {};
+    bool m_isAfterPause {};
     bool m_hasCallers {};
     bool m_hasNeighbours {};
     bool m_isDrained { true };
--- a/src/steering/packet_decision.cpp
+++ b/src/steering/packet_decision.cpp
@@ -23,6 +23,8 @@
         return "unknownServer";
     case packet_reason::Waiting:
         return "waiting";
+    case packet_reason::Outdated:
+        return "outdated";
     case packet_reason::DataCentreOut:
         return "dataCentreOut";
     }
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -170,6 +170,22 @@
         --server->openFlows;
 }
 
+void steering_engine::handlePause(core::timestamp now)
+{
+    m_deadlines = {};
+    std::vector<flow_address> unopened;
+    m_ledger.forEach([&unopened](flow_record& record) {
+        if (record.state == flow_state::Waiting || record.state == flow_state::Opening)
+            unopened.push_back(record.opening.flow);
+    });
+    for (const flow_address& flow : unopened) {
+        flow_record* const record = m_ledger.find(flow);
+        if (record->state == flow_state::Opening)
+            end(*record, now, note_kind::FlowAbandoned);
+        forget(flow);
+    }
+}
+
 std::vector<delayed_offer> steering_engine::advance(core::timestamp now)
 {
     std::vector<delayed_offer> offers;
--- a/src/steering/steering_engine_test.cpp
+++ b/src/steering/steering_engine_test.cpp
@@ -119,6 +119,22 @@
         cr_assert(!engine.servers().find(tagOf("i-" + std::to_string(number)))->evidence.isSuspect());
 }
 
+// Guards against a host that stood still and then takes the callers that went elsewhere for silent servers.
+Test(steering_engine, pause_of_the_host_is_no_evidence)
+{
+    steering_engine engine = informedEngine();
+    for (std::uint16_t port = 1; port <= 40; ++port)
+        engine.handlePacket(opening(port), at(0));
+    cr_assert(engine.hasWaiting());
+    engine.handlePause(at(4000));
+    cr_assert(engine.advance(at(4000)).empty() && !engine.hasWaiting() && engine.flowCount() == 0);
+    for (int number = 1; number <= 6; ++number) {
+        const server_record* const server = engine.servers().find(tagOf("i-" + std::to_string(number)));
+        cr_assert(!server->evidence.isSuspect() && server->openFlows == 0, "server %d", number);
+    }
+    cr_assert(engine.handlePacket(opening(99), at(4001)).action == packet_action::Forward);
+}
+
 // Guards against an opening packet with another packet's checksum: a flow that waits here opens through
 // another host.
 Test(steering_engine, waiting_flow_that_opened_elsewhere_is_not_started)
