--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -67,8 +67,8 @@
     // Commands: traffic.
 
     packet_decision handlePacket(const caller_packet&, core::timestamp now);
-    /// The host stood still. Flows that were about to open went on through other hosts, so their silence says nothing
-    /// about servers.
+    /// The host stood still. Flows that were about to open went on through other hosts, so their silence says
+    /// nothing about servers.
     void handlePause(core::timestamp now);
     /// Timed work; gives the opening packets that go to another server now.
     std::vector<delayed_offer> advance(core::timestamp now);
