Refuse flows at once whose turn would come too late while a load lasts

Change: while late flows have no turn, a waiting flow whose turn, at the time of a request and the share of this host, comes too late for a timely answer counts as late and is refused at once, so that its caller can still try elsewhere.

--- a/include/shallotcove/steering/waiting_flows.hpp
+++ b/include/shallotcove/steering/waiting_flows.hpp
@@ -44,8 +44,10 @@
     /// A flow that waited got a server.
     void recordStart(const waiting_flow&, core::timestamp now);
     /// Takes out the flows that can no longer be answered before their callers give up, and those whose turn
-    /// will not come by then at the rate at which late flows got servers of late.
-    std::vector<waiting_flow> takeHopeless(core::timestamp now);
+    /// will not come by then at the rate at which late flows got servers of late. A flow whose turn comes too
+    /// late for a timely answer, if the servers that this host may use work on so many flows at once, counts
+    /// as late.
+    std::vector<waiting_flow> takeHopeless(double flowsAtOnce, core::timestamp now);
 
     // Queries.
 
@@ -63,7 +65,7 @@
 private:
     bool isHopeless(const waiting_flow&, core::timestamp startAt) const;
     void measure(core::timestamp now);
-    void dropBeyondRate(std::vector<waiting_flow>& hopeless, core::timestamp now);
+    void dropBeyondRate(std::vector<waiting_flow>& hopeless, double flowsAtOnce, core::timestamp now);
     bool goesBefore(const waiting_flow& left, const waiting_flow& right, core::timestamp now) const;
 
     std::vector<waiting_flow> m_flows;
--- a/src/steering/load_world.hpp
+++ b/src/steering/load_world.hpp
@@ -27,6 +27,8 @@
     double outageFrom { 2000 };
     double outageUntil { 3300 };
     double end { 6000 };
+    /// Callers try again so often after a refusal.
+    int retries {};
     /// A server that takes packets and answers none from this time on; 0 for none.
     std::size_t silentServer {};
     double silentFrom {};
@@ -73,20 +75,23 @@
     {
         load_result result;
         for (const request& known : m_requests) {
-            if (known.sentAt < from || known.sentAt >= until)
+            if (known.firstSentAt < from || known.firstSentAt >= until)
                 continue;
-            ++result.sent;
-            result.refused += known.isRefused ? 1 : 0;
+            result.sent += known.firstSentAt == known.sentAt ? 1 : 0;
+            result.refused += known.isRefused && known.triesLeft == 0 ? 1 : 0;
             result.offered += known.offers;
-            if (known.answeredAt <= 0 || known.answeredAt > known.sentAt + 1200)
+            if (known.answeredAt <= 0 || known.answeredAt > known.firstSentAt + 1200)
                 continue;
-            ++(known.answeredAt <= known.sentAt + 200 ? result.timely : result.late);
+            ++(known.answeredAt <= known.firstSentAt + 200 ? result.timely : result.late);
         }
         return result;
     }
 
 private:
+    /// One try of a request, from a port of its own.
     struct request {
+        double firstSentAt {};
+        int triesLeft {};
         double sentAt {};
         double answeredAt {};
         std::size_t host {};
@@ -112,6 +117,7 @@
     };
 
     static constexpr double callerDelay = 3;
+    static constexpr double pauseBeforeTry = 35;
 
     static std::string idOf(std::size_t index) { return "i-" + std::to_string(index + 1); }
 
@@ -145,19 +151,24 @@
         if (next >= m_options.end)
             return;
         schedule(next, [this, next] {
-            const std::size_t number = m_requests.size();
-            m_requests.push_back(
-                { next, 0, m_random(static_cast<std::uint32_t>(m_options.hosts)), false, false, 0 });
-            for (std::uint32_t copy = 0; copy < 3; ++copy)
-                schedule(next + callerDelay
-                        + (copy == 0        ? 0
-                                : copy == 1 ? 200
-                                            : 600),
-                    [this, number, copy] { open(number, copy); });
+            send(next, m_options.retries, next);
             scheduleCaller(next);
         });
     }
 
+    void send(double firstSentAt, int triesLeft, double now)
+    {
+        const std::size_t number = m_requests.size();
+        m_requests.push_back({ firstSentAt, triesLeft, now, 0,
+            m_random(static_cast<std::uint32_t>(m_options.hosts)), false, false, 0 });
+        for (std::uint32_t copy = 0; copy < 3; ++copy)
+            schedule(now + callerDelay
+                    + (copy == 0        ? 0
+                            : copy == 1 ? 200
+                                        : 600),
+                [this, number, copy] { open(number, copy); });
+    }
+
     void open(std::size_t number, std::uint32_t copy)
     {
         const request& known = m_requests[number];
@@ -173,8 +184,13 @@
     void carryOut(std::size_t number, const packet_decision& decision, double now)
     {
         request& known = m_requests[number];
-        if (decision.action == packet_action::Refuse)
-            known.isRefused = true;
+        if (decision.action == packet_action::Refuse && !std::exchange(known.isRefused, true)
+            && known.triesLeft > 0) {
+            const double next = now + callerDelay + pauseBeforeTry;
+            schedule(next, [this, first = known.firstSentAt, left = known.triesLeft - 1, next] {
+                send(first, left, next);
+            });
+        }
         if (decision.action != packet_action::Forward)
             return;
         ++known.offers;
--- a/src/steering/load_world_test.cpp
+++ b/src/steering/load_world_test.cpp
@@ -65,6 +65,24 @@
     cr_assert(with.refused > 0.5 * (with.sent - borne), "%d refused of %d", with.refused, with.sent);
 }
 
+// Guards against flows that wait until they are late before they are refused: their callers come back with
+// new flows that look timely, and take the servers from those who still are. Answers a load that lasts, of
+// callers who try again at once.
+Test(load_world, overload_with_callers_who_try_again_is_answered_in_time)
+{
+    load_options options;
+    options.outageFrom = options.outageUntil = 1e6;
+    options.retries = 2;
+    // Five servers of one slot bear some 119 requests a second.
+    options.slots = 1;
+    options.requestsPerSecond = 165;
+    const load_result result = playedResult(options, 2000, 5500);
+    const double borne = 3.5 * 5 * 1000 / options.workMilliseconds;
+    std::printf("%d timely %d late %d refused of %d; borne %.0f\n", result.timely, result.late,
+        result.refused, result.sent, borne);
+    cr_assert(result.timely >= 0.75 * borne, "%d of %.0f borne", result.timely, borne);
+}
+
 // Guards against a silent server that costs more than the first flows that find it.
 Test(load_world, silent_server_costs_little)
 {
--- a/src/steering/steering_engine_openings.cpp
+++ b/src/steering/steering_engine_openings.cpp
@@ -122,7 +122,7 @@
 {
     std::vector<delayed_offer> offers;
     for (auto& [service, waiting] : m_waiting) {
-        for (const waiting_flow& hopeless : waiting.takeHopeless(now)) {
+        for (const waiting_flow& hopeless : waiting.takeHopeless(flowsAtOnce(service), now)) {
             --m_waitingCount;
             const flow_record* const record = m_ledger.find(hopeless.flow);
             if (record == nullptr)
--- a/src/steering/waiting_flows.cpp
+++ b/src/steering/waiting_flows.cpp
@@ -58,16 +58,24 @@
     m_lateStarts = 0;
 }
 
-void waiting_flows::dropBeyondRate(std::vector<waiting_flow>& hopeless, core::timestamp now)
+void waiting_flows::dropBeyondRate(
+    std::vector<waiting_flow>& hopeless, double flowsAtOnce, core::timestamp now)
 {
     if (!m_lateStartsPerSecond)
         return;
+    std::sort(m_flows.begin(), m_flows.end(),
+        [&](const waiting_flow& left, const waiting_flow& right) { return goesBefore(left, right, now); });
     std::vector<waiting_flow> kept;
     std::vector<waiting_flow> late;
-    for (const waiting_flow& flow : m_flows)
-        (isTimely(flow.goalAt, now) ? kept : late).push_back(flow);
-    std::sort(late.begin(), late.end(),
-        [&](const waiting_flow& left, const waiting_flow& right) { return goesBefore(left, right, now); });
+    // Flows that are timely now and will be late when their turn comes count as late.
+    const core::duration perStart = std::chrono::duration_cast<core::duration>(
+        std::chrono::duration<double> { m_serviceTime } / std::max(1.0, flowsAtOnce));
+    core::timestamp turn = now;
+    for (const waiting_flow& flow : m_flows) {
+        const bool isKept = isTimely(flow.goalAt, turn);
+        (isKept ? kept : late).push_back(flow);
+        turn = isKept ? turn + perStart : turn;
+    }
     std::size_t keptLate = 0;
     for (const waiting_flow& flow : late) {
         const double ahead = static_cast<double>(keptLate + 1);
@@ -81,7 +89,7 @@
     m_flows = std::move(kept);
 }
 
-std::vector<waiting_flow> waiting_flows::takeHopeless(core::timestamp now)
+std::vector<waiting_flow> waiting_flows::takeHopeless(double flowsAtOnce, core::timestamp now)
 {
     measure(now);
     std::vector<waiting_flow> hopeless;
@@ -89,7 +97,7 @@
         m_flows.begin(), m_flows.end(), [&](const waiting_flow& flow) { return !isHopeless(flow, now); });
     std::move(first, m_flows.end(), std::back_inserter(hopeless));
     m_flows.erase(first, m_flows.end());
-    dropBeyondRate(hopeless, now);
+    dropBeyondRate(hopeless, flowsAtOnce, now);
     return hopeless;
 }
 
--- a/src/steering/waiting_flows_test.cpp
+++ b/src/steering/waiting_flows_test.cpp
@@ -51,8 +51,8 @@
     waiting_flows waiting(serviceTime);
     waiting.add(waitingFrom(1, 0, 0));
     waiting.add(waitingFrom(2, 500, 500));
-    cr_assert(waiting.takeHopeless(at(1100)).empty());
-    const std::vector<waiting_flow> hopeless = waiting.takeHopeless(at(1151));
+    cr_assert(waiting.takeHopeless(10, at(1100)).empty());
+    const std::vector<waiting_flow> hopeless = waiting.takeHopeless(10, at(1151));
     cr_assert(hopeless.size() == 1 && hopeless[0].flow == flowOf(1) && waiting.size() == 1);
 }
 
@@ -62,25 +62,42 @@
     waiting_flows waiting(serviceTime);
     for (std::uint16_t port = 1; port <= 10; ++port)
         waiting.add(waitingFrom(port, 0, 0));
-    cr_assert(waiting.takeHopeless(at(0)).empty());
+    cr_assert(waiting.takeHopeless(10, at(0)).empty());
     // Only flows that came later got servers.
     for (double now = 100; now < 500; now += 20)
         waiting.recordStart(waitingFrom(100, now, now), at(now));
-    cr_assert(waiting.takeHopeless(at(499)).empty(), "no rate is known yet");
-    cr_assert(waiting.takeHopeless(at(510)).size() == 10);
+    cr_assert(waiting.takeHopeless(10, at(499)).empty(), "no rate is known yet");
+    cr_assert(waiting.takeHopeless(10, at(510)).size() == 10);
     // Where late flows have their turn, as many are kept as fit.
     waiting_flows draining(serviceTime);
     for (std::uint16_t port = 1; port <= 40; ++port)
         draining.add(waitingFrom(port, 0, 0));
-    cr_assert(draining.takeHopeless(at(0)).empty());
+    cr_assert(draining.takeHopeless(10, at(0)).empty());
     for (double now = 250; now < 500; now += 25)
         draining.recordStart(waitingFrom(100, 0, 0), at(now));
-    const std::size_t refused = draining.takeHopeless(at(510)).size();
+    const std::size_t refused = draining.takeHopeless(10, at(510)).size();
     // Up to three times 20 a second are expected for 0.64 s, until flows that were sent at 0 would open too
     // late.
     cr_assert(refused >= 1 && refused <= 4, "%zu", refused);
 }
 
+// Guards against flows that wait in vain until they are late, although the load lasts and the outcome is
+// known: their callers could try elsewhere while an answer would still be timely.
+Test(waiting_flows, timely_flows_whose_turn_comes_too_late_are_refused_at_once)
+{
+    waiting_flows waiting(serviceTime);
+    waiting.add(waitingFrom(1, 0, 0));
+    cr_assert(waiting.takeHopeless(1, at(0)).empty());
+    for (double now = 20; now < 500; now += 20)
+        waiting.recordStart(waitingFrom(100, now, now), at(now));
+    waiting.remove(flowOf(1));
+    for (std::uint16_t port = 2; port <= 11; ++port)
+        waiting.add(waitingFrom(port, 510, 510));
+    // One flow at once, 50 ms each: turns at 510, 560, 610 and 660 ms are in time for 710 ms.
+    cr_assert_eq(waiting.takeHopeless(1, at(510)).size(), 6);
+    cr_assert_eq(waiting.size(), 4);
+}
+
 // Guards against a queue that takes flows for which it has no time.
 Test(waiting_flows, flow_behind_too_many_others_cannot_be_served)
 {
