--- /dev/null
+++ b/src/soak/request_payload.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace shallotcove::soak {
+
+/// What callers and servers of the soak write into the packets of a flow.
+struct request_payload {
+    std::uint64_t request {};
+    /// Whether the request may run more than once.
+    bool isRepeatable {};
+
+    friend bool operator==(const request_payload&, const request_payload&) = default;
+};
+
+std::vector<std::byte> encodePayload(const request_payload&);
+std::optional<request_payload> decodePayload(std::span<const std::byte>);
+
+} // namespace shallotcove::soak
--- /dev/null
+++ b/src/soak/tcp_proxy_test.cpp
@@ -0,0 +1,72 @@
+#include "tcp_proxy.hpp"
+
+#include <chrono>
+#include <optional>
+
+#include <criterion/criterion.h>
+
+#include <shallotcove/store/http_exchange.hpp>
+
+#include "testbench/event_loop.hpp"
+#include "testbench/http_server.hpp"
+
+using namespace shallotcove::soak;
+namespace store = shallotcove::store;
+namespace testbench = shallotcove::testbench;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server behind a proxy.
+class proxied_server {
+public:
+    proxied_server()
+        : m_server(std::move(*testbench::http_server::create(context,
+            *shallotcove::core::socket_address::parse("127.0.0.1:0"),
+            [this](const testbench::http_request&, const std::shared_ptr<testbench::http_connection>& open) {
+                ++requests;
+                open->answer(200, "{}");
+            })))
+        , proxy(std::move(*tcp_proxy::create(context, m_server->address())))
+    {
+    }
+
+    tl::expected<store::http_answer, store::http_error> ask()
+    {
+        std::optional<tl::expected<store::http_answer, store::http_error>> result;
+        store::exchangeHttp(
+            context, proxy->address(), { boost::beast::http::verb::get, "/", {} }, { 600ms, 600ms }, [] {},
+            [&result](
+                const tl::expected<store::http_answer, store::http_error>& answer) { result = answer; });
+        testbench::runUntil(context, [&result] { return result.has_value(); });
+        return *result;
+    }
+
+    boost::asio::io_context context;
+    int requests {};
+
+private:
+    std::unique_ptr<testbench::http_server> m_server;
+
+public:
+    std::unique_ptr<tcp_proxy> proxy;
+};
+
+} // namespace
+
+// Guards against a proxy that harms nothing, or more than it should.
+Test(tcp_proxy, each_mode_harms_as_it_says)
+{
+    proxied_server server;
+    cr_assert_eq(server.ask()->status, 200);
+    server.proxy->setMode(proxy_mode::Delayed);
+    cr_assert(!server.ask() && server.requests == 2, "the answer comes after the time-out");
+    server.proxy->setMode(proxy_mode::Reset);
+    cr_assert(!server.ask() && server.requests == 2);
+    server.proxy->setMode(proxy_mode::Silent);
+    cr_assert(!server.ask() && server.requests == 2);
+    server.proxy->setMode(proxy_mode::AnswersLost);
+    cr_assert(!server.ask() && server.requests == 3);
+    server.proxy->setMode(proxy_mode::Pass);
+    cr_assert_eq(server.ask()->status, 200);
+}
--- /dev/null
+++ b/src/soak/violation.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include <shallotcove/core/time.hpp>
+
+#include "promise.hpp"
+
+namespace shallotcove::soak {
+
+/// A promise that was not kept, as callers, servers or the operator saw it.
+struct violation {
+    promise broken {};
+    core::timestamp at;
+    std::string text;
+
+    friend bool operator==(const violation&, const violation&) = default;
+};
+
+} // namespace shallotcove::soak
