Count a flow as load only while a request waits for its answer

Cause: callers may keep flows open for many requests.

Ruled out: the servers (their queues were empty), the limit of late flows (the same refusals with 2 flows a slot).

Change: the acknowledgements of the caller tell when an answer arrives. A flow is load from its request until the caller has received more than before; the time between is the time of a request. Late copies and reordered packets do not begin or end one. What the limit of silence did stays for lost packets.

--- a/include/shallotcove/steering/flow_ledger.hpp
+++ b/include/shallotcove/steering/flow_ledger.hpp
@@ -3,7 +3,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -36,10 +35,12 @@
     core::timestamp startedAt;
     core::timestamp offeredAt;
     core::timestamp lastPacketAt;
-    /// What the caller had received when it sent its last request; more than that since shows an answer.
-    std::optional<std::uint32_t> receivedAtRequest;
-    /// The flow carried more than one request, so its life says nothing about the time of one.
-    bool isReused {};
+    /// Whether the caller waits for an answer. The flow is load only then.
+    bool awaitsAnswer {};
+    bool hadRequest {};
+    core::timestamp requestedAt;
+    /// What the caller had received of the flow when it sent its request; more shows that the answer came.
+    std::uint32_t receivedBefore {};
     /// When the caller stops waiting for the flow to open.
     core::timestamp openUntil;
     /// Silence after which the flow no longer counts.
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -129,6 +129,9 @@
     packet_decision forwardTo(const server_record&, core::timestamp now) const;
     void open(const caller_packet&, flow_record&, core::timestamp now);
     void end(flow_record&, core::timestamp now, note_kind);
+    /// Follows the requests on an open flow by what its caller sends and has received.
+    void trackRequest(const caller_packet&, flow_record&, core::timestamp now);
+    void recordAnswer(const caller_packet&, flow_record&, core::timestamp now);
     void countAgain(flow_record&);
     void release(flow_record&);
     /// Takes a flow out of the load whose caller closed it through another host, or does not use it.
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -69,15 +69,10 @@
     const caller_packet& packet, flow_record& record, core::timestamp now)
 {
     record.lastPacketAt = now;
-    if (record.state == flow_state::Open && packet.payloadBytes > 0 && !record.isCounted)
-        countAgain(record);
-    if (packet.payloadBytes > 0) {
-        record.isReused
-            |= record.receivedAtRequest.value_or(packet.acknowledgement) != packet.acknowledgement;
-        record.receivedAtRequest = packet.acknowledgement;
-    }
     if (record.state == flow_state::Opening && packet.isAcknowledging)
         open(packet, record, now);
+    if (record.state == flow_state::Open)
+        trackRequest(packet, record, now);
     const server_record* const server = m_servers.find(record.server);
     if (packet.isClosing || packet.isReset)
         end(record, now, note_kind::FlowEnded);
@@ -86,6 +81,34 @@
     return forwardTo(*server, now);
 }
 
+void steering_engine::trackRequest(const caller_packet& packet, flow_record& record, core::timestamp now)
+{
+    // Numbers of bytes wrap around.
+    const std::int32_t received = static_cast<std::int32_t>(packet.acknowledgement - record.receivedBefore);
+    if (record.awaitsAnswer && received > 0)
+        recordAnswer(packet, record, now);
+    const bool isLateCopy = record.hadRequest && received < 0;
+    if (packet.payloadBytes == 0 || record.awaitsAnswer || isLateCopy)
+        return;
+    record.awaitsAnswer = true;
+    // The first request includes the opening of its flow.
+    record.requestedAt = record.hadRequest ? now : record.offeredAt;
+    record.hadRequest = true;
+    record.receivedBefore = packet.acknowledgement;
+    if (!record.isCounted)
+        countAgain(record);
+}
+
+void steering_engine::recordAnswer(const caller_packet& packet, flow_record& record, core::timestamp now)
+{
+    record.awaitsAnswer = false;
+    record.receivedBefore = packet.acknowledgement;
+    release(record);
+    const server_record* const server = m_servers.find(record.server);
+    if (server != nullptr)
+        waitingFor(server->entry.service).recordServiceTime(now - record.requestedAt);
+}
+
 packet_decision steering_engine::handleUnknown(const caller_packet& packet, core::timestamp now)
 {
     server_record* const server = m_servers.find(packet.tag);
@@ -99,7 +122,8 @@
             record->opening = packet;
             record->startedAt = record->offeredAt = record->lastPacketAt = now;
             record->idleLimit = m_options.idleFlow;
-            count(*record, *server);
+            record->server = server->tag;
+            trackRequest(packet, *record, now);
         }
     }
     return forwardTo(*server, now);
@@ -133,13 +157,6 @@
     const route* const target = findRoute(record.opening.flow);
     note.subject = target == nullptr ? "" : target->name;
     addNote(std::move(note));
-    if (kind == note_kind::FlowEnded && server != nullptr && record.state == flow_state::Open
-        && !record.isReused) {
-        // A caller may keep an answered flow open for a while, which is no time of the server's.
-        waiting_flows& waiting = waitingFor(server->entry.service);
-        waiting.recordServiceTime(
-            std::min(now - record.offeredAt, m_options.silentServiceTimes * waiting.serviceTime()));
-    }
     release(record);
     record.state = flow_state::Ended;
 }
