Soak: name lost requests, repair the stand-ins' judgement of data centres out

Change: losses do not count for the time of a request after a data centre's return; each data centre has a server behind the probe routes; a lost request is named.

--- a/src/soak/caller_fleet.cpp
+++ b/src/soak/caller_fleet.cpp
@@ -29,8 +29,6 @@
     // last.
     constexpr std::uint32_t resetWindow = 76800;
 
-    // A request is lost after this time; the longest of the users' deployments.
-    constexpr std::chrono::milliseconds requestTimeout { 4000 };
     // One request in so many must not run twice.
     constexpr std::uint32_t oneInUnrepeatable = 3;
     // One flow in so many stays open for further requests, with pauses between them.
@@ -236,7 +234,7 @@
     known.isAnswered = true;
     if (known.host.empty()) {
         ++m_served;
-        m_checker.recordRequest(known.current.startedAt, soakNow(), true);
+        m_checker.recordRequest(flow, known.current.startedAt, soakNow(), true);
     }
     if (known.following == 0 || isClosing) {
         close(flow, known);
@@ -287,7 +285,7 @@
     if (!known.host.empty() || (m_countsLoss && !m_countsLoss(flow)))
         return;
     ++m_lost;
-    m_checker.recordRequest(known.current.startedAt, soakNow(), false);
+    m_checker.recordRequest(flow, known.current.startedAt, soakNow(), false);
 }
 
 } // namespace shallotcove::soak
--- a/src/soak/caller_fleet.hpp
+++ b/src/soak/caller_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -25,6 +26,9 @@
 
 namespace shallotcove::soak {
 
+/// A request is lost after this time; the longest of the small deployments of the users.
+inline constexpr std::chrono::milliseconds requestTimeout { 4000 };
+
 class flow_router;
 class promise_checker;
 class soak_network;
--- a/src/soak/promise_checker.cpp
+++ b/src/soak/promise_checker.cpp
@@ -328,9 +328,10 @@
     return found == m_flows.end() ? "" : found->second.server;
 }
 
-void promise_checker::recordRequest(core::timestamp startedAt, core::timestamp endedAt, bool isServed)
+void promise_checker::recordRequest(
+    const steering::flow_address& flow, core::timestamp startedAt, core::timestamp endedAt, bool isServed)
 {
-    m_requests.push_back({ startedAt, endedAt, isServed });
+    m_requests.push_back({ flow, startedAt, endedAt, isServed });
 }
 
 bool promise_checker::wasDisturbed(const request_outcome& request) const
@@ -343,6 +344,7 @@
 void promise_checker::finish(core::timestamp now)
 {
     std::size_t lost = 0;
+    std::string first;
     std::size_t after = 0;
     std::size_t servedAfter = 0;
     for (const request_outcome& request : m_requests) {
@@ -353,10 +355,12 @@
         if (wasDisturbed(request))
             continue;
         count(promise::ServedInCalm);
-        lost += request.isServed ? 0 : 1;
+        if (!request.isServed && lost++ == 0)
+            first = request.flow.toString();
     }
     if (lost > 0)
-        report(promise::ServedInCalm, now, std::to_string(lost) + " requests were not served in calm times");
+        report(promise::ServedInCalm, now,
+            std::to_string(lost) + " requests were not served in calm times, first " + first);
     if (after == 0)
         return;
     count(promise::Recovery);
--- a/src/soak/promise_checker.hpp
+++ b/src/soak/promise_checker.hpp
@@ -71,7 +71,8 @@
         core::timestamp sentAt, core::timestamp now);
     /// A server reset a flow that it does not hold.
     void recordForeignReset(const steering::flow_address&, const std::string& server, core::timestamp now);
-    void recordRequest(core::timestamp startedAt, core::timestamp endedAt, bool isServed);
+    void recordRequest(
+        const steering::flow_address&, core::timestamp startedAt, core::timestamp endedAt, bool isServed);
     /// The last fault is over.
     void recordCalmFrom(core::timestamp now) { m_calmFrom = now; }
 
@@ -112,6 +113,7 @@
     };
 
     struct request_outcome {
+        steering::flow_address flow;
         core::timestamp startedAt;
         core::timestamp endedAt;
         bool isServed {};
--- a/src/soak/promise_checker_test.cpp
+++ b/src/soak/promise_checker_test.cpp
@@ -78,7 +78,7 @@
     checker.recordFlowOpen(flow, "s1");
     checker.recordPacket(flow, "s1", at(10.1));
     checker.recordRun(1, flow, false, at(10.1));
-    checker.recordRequest(at(10), at(10.2), true);
+    checker.recordRequest(flow, at(10), at(10.2), true);
     checker.recordFlowEnd(flow);
     checker.recordRefusal(probe, 2, "h1", at(1), at(1));
     checker.recordExit("h1", at(20), false, 0, at(22));
@@ -227,10 +227,10 @@
 {
     promise_checker checker = informedChecker();
     checker.recordTrafficTrouble(at(10), at(11));
-    checker.recordRequest(at(14.9), at(16), false);
+    checker.recordRequest(flow, at(14.9), at(16), false);
     checker.finish(at(20));
     cr_assert(checker.violations().empty());
-    checker.recordRequest(at(15.1), at(16), false);
+    checker.recordRequest(flow, at(15.1), at(16), false);
     checker.finish(at(20));
     cr_assert(isBroken(checker, promise::ServedInCalm));
 }
@@ -241,7 +241,7 @@
     checker.recordCalmFrom(at(10));
     checker.recordTrafficTrouble(at(0), at(100));
     for (int index = 0; index < 10; ++index)
-        checker.recordRequest(at(23), at(24), index < 2);
+        checker.recordRequest(flow, at(23), at(24), index < 2);
     checker.finish(at(30));
     cr_assert(isBroken(checker, promise::Recovery));
 }
--- a/src/soak/soak_world.cpp
+++ b/src/soak/soak_world.cpp
@@ -21,7 +21,6 @@
     // Addresses of servers beyond those in use, for servers that come later.
     constexpr std::size_t spareAddresses = 40;
     constexpr std::size_t probeRoutes = 3;
-    constexpr std::size_t probeServers = 2;
     constexpr std::chrono::milliseconds probePause { 60 };
     constexpr std::chrono::milliseconds processPoll { 20 };
     constexpr std::chrono::milliseconds readyPoll { 250 };
@@ -114,7 +113,7 @@
 {
     m_servers = std::make_unique<server_fleet>(m_context, m_work, m_checker, m_network, m_options.seed + 1);
     m_servers->setCallerPort(packetPort);
-    for (std::size_t index = 0; index < m_options.servers + probeServers + spareAddresses; ++index) {
+    for (std::size_t index = 0; index < m_options.servers + m_options.dataCentres + spareAddresses; ++index) {
         const core::socket_address address = loopback(m_options.network, 3, index + 1, packetPort);
         if (const tl::expected<void, std::string> added = m_servers->addAddress(address); !added)
             return added.error();
@@ -125,7 +124,11 @@
     m_callers->setRoute(callersRoute);
     m_callers->setLossFilter([this](const steering::flow_address& flow) {
         const steering::server_entry* const server = m_servers->find(m_checker.serverOf(flow));
-        return server == nullptr || !m_dataCentresOut.contains(server->dataCentre);
+        if (server == nullptr)
+            return true;
+        const auto back = m_backSince.find(server->dataCentre);
+        const bool wasOut = back != m_backSince.end() && soakNow() - back->second < requestTimeout;
+        return !wasOut && !m_dataCentresOut.contains(server->dataCentre);
     });
     for (std::size_t index = 0; index < callersPerDataCentre * m_options.dataCentres; ++index) {
         const core::socket_address address = loopback(m_options.network, 2, index + 1, packetPort);
@@ -167,8 +170,8 @@
         changeConfig();
     for (std::size_t index = 0; index < m_options.servers; ++index)
         addServer("booking", nameOf(index % m_options.dataCentres), false);
-    for (std::size_t index = 0; index < probeServers; ++index)
-        addServer("probing", nameOf(index % m_options.dataCentres), false);
+    for (std::size_t index = 0; index < m_options.dataCentres; ++index)
+        addServer("probing", nameOf(index), false);
     for (const host_plan& plan : m_hosts) {
         writeSettings(plan, 400, false);
         startHost(plan.name);
--- a/src/soak/soak_world.hpp
+++ b/src/soak/soak_world.hpp
@@ -124,6 +124,8 @@
     std::vector<steering::route_address> m_formerProbes;
     std::uint16_t m_nextProbePort { 1000 };
     std::set<std::string> m_dataCentresOut;
+    /// When a data centre came back last.
+    std::map<std::string, core::timestamp> m_backSince;
     std::map<fault_kind, int> m_injected;
     core::timestamp m_storeTroubleUntil;
     core::timestamp m_startedAt;
--- a/src/soak/soak_world_faults.cpp
+++ b/src/soak/soak_world_faults.cpp
@@ -382,6 +382,7 @@
         m_store->setDataCentreOut(dataCentre, false);
         m_checker.recordDataCentreOut(dataCentre, false, soakNow());
         m_dataCentresOut.erase(dataCentre);
+        m_backSince[dataCentre] = soakNow();
     });
 }
 
