Send an open flow to the server that its first acknowledgement names

The caller answers the first server; its acknowledgement enters at the second host, which kept to its own choice unless it had offered the flow to the named server itself. The flow's packets went to a server that did not hold it, which reset it.

Ruled out: routers that move flows (the host had the right tag in the packet).

Change: the tag of the first acknowledgement decides, whichever host offered the flow; this host's choice counts only if the tag is not known.

Test: flow_that_opened_at_a_server_of_another_host_goes_there, fails on the former code.

--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -136,12 +136,14 @@
     // after the flow was offered to the next one.
     const bool isOffered
         = std::find(record.offered.begin(), record.offered.end(), packet.tag) != record.offered.end();
-    server_record* const server = m_servers.find(isOffered ? packet.tag : record.server);
+    // Another host may have offered the flow as well, to a server that this one did not.
+    server_record* const tagged = m_servers.find(packet.tag);
+    server_record* const server = tagged != nullptr ? tagged : m_servers.find(record.server);
     if (server == nullptr)
         return;
     release(record);
     count(record, *server);
-    if (record.offered.size() == 1)
+    if (isOffered && record.offered.size() == 1)
         m_openings.record(server->entry.dataCentre, now - record.offeredAt);
     recordAnswered(*server, now);
 }
--- a/src/steering/steering_engine_test.cpp
+++ b/src/steering/steering_engine_test.cpp
@@ -337,6 +337,20 @@
 
 } // namespace
 
+// Guards against an open flow that is sent to a server of this host's choice, although another host offered
+// it to a server that answered first. Found by the soak, seed 9.
+Test(steering_engine, flow_that_opened_at_a_server_of_another_host_goes_there)
+{
+    steering_engine here = informedEngine();
+    here.applyServer(serverEntry("i-7"), at(0));
+    const server_tag chosenHere = here.handlePacket(opening(1, 1), at(200)).tag;
+    const server_tag answered = tagOf("i-7") != chosenHere ? tagOf("i-7") : tagOf("i-1");
+    const packet_decision first = here.handlePacket(following(1, answered), at(208));
+    cr_assert(first.action == packet_action::Forward && first.tag == answered);
+    cr_assert(here.handlePacket(following(1, answered, 200), at(209)).tag == answered);
+    cr_assert(here.advance(at(400)).empty());
+}
+
 // Guards against refusals at idle servers once callers keep flows open for several requests: an idle flow is
 // no load, and its life is no time of a request. Found by the soak, seed 1.
 Test(steering_engine, open_flows_without_a_request_are_no_load)
