Keep messages between hosts few in large data centres; one class a header

The choice of far contacts was computed anew for each contact, the square of the fleet 20 times a second, and the bound of messages to neighbours held only while loads changed (500 a second at 100 hosts). Loads that neighbours tell expired (0.4 s) between two messages (1 s).

Change: far contacts are chosen once a round; the bound of messages holds always; loads and the belief that a neighbour serves last for some intervals.

Beside it, headers of include/ and the daemon with three classes or more are split to one class each (56 new headers); the former headers include them. Left as they were: peer_message, key_value_client, channels, address_decision, and headers of src/core and src/testbench, where a mechanical split made includes circular.

Test: messages_stay_few_in_a_large_data_centre.

--- a/include/shallotcove/core/capacity_estimator.hpp
+++ b/include/shallotcove/core/capacity_estimator.hpp
@@ -2,47 +2,20 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
+#include <shallotcove/core/backend_server.hpp>
+#include <shallotcove/core/capacity_estimator_input.hpp>
+#include <shallotcove/core/capacity_estimator_options.hpp>
+#include <shallotcove/core/ids.hpp>
 #include <shallotcove/core/peer_message.hpp>
 #include <shallotcove/core/service_config.hpp>
 #include <shallotcove/core/time.hpp>
 
 namespace shallotcove::core {
 
-struct capacity_estimator_options {
-    /// A host that has not reported for this long no longer counts.
-    duration reportLifetime { std::chrono::seconds { 15 } };
-    /// Time constant of the averages.
-    duration smoothing { std::chrono::seconds { 20 } };
-    /// Shortest time between two corrections of a service. Flows placed before a correction have to end
-    /// before it shows, so a shorter time corrects the same deviation twice.
-    duration correctionInterval { std::chrono::seconds { 30 } };
-    /// Part of a deviation that one correction takes away.
-    double gain { 0.8 };
-    /// Smallest deviation that is worth an epoch, relative to the server's due share.
-    double smallestDeviation { 0.06 };
-    /// Standard deviations of pure hashing that a deviation must exceed.
-    double noiseMultiple { 3 };
-    double smallestFactor { 0.25 };
-    double largestFactor { 2 };
-    /// Share of bad outcomes above which a server gets no larger factor: one that drops flows has few open.
-    double troubleShare { 0.05 };
-    /// Active flows below which a host's shares of a service mean nothing.
-    std::uint32_t minimumFlows { 64 };
-};
-
-struct capacity_estimator_input {
-    std::vector<std::shared_ptr<const service_config>> services;
-    /// Servers with a limit. The limit keeps flows away, so their open flows say nothing about their weight.
-    std::set<std::pair<service_id, backend_server_id>> limitedServers;
-    timestamp now;
-};
-
 /// Learns from load reports which servers hold more or fewer open flows than their weight calls for. All that
 /// it knows comes from its arguments; the same calls give the same factors.
 class capacity_estimator {
--- /dev/null
+++ b/include/shallotcove/core/capacity_estimator_input.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <shallotcove/core/ids.hpp>
+#include <shallotcove/core/service_config.hpp>
+#include <shallotcove/core/time.hpp>
+
+namespace shallotcove::core {
+
+struct capacity_estimator_input {
+    std::vector<std::shared_ptr<const service_config>> services;
+    /// Servers with a limit. The limit keeps flows away, so their open flows say nothing about their weight.
+    std::set<std::pair<service_id, backend_server_id>> limitedServers;
+    timestamp now;
+};
+
+} // namespace shallotcove::core
--- /dev/null
+++ b/include/shallotcove/core/class_evidence.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <shallotcove/core/ids.hpp>
+
+namespace shallotcove::core {
+
+/// Flows and refusals of one caller class of a service since the last report.
+struct class_evidence {
+    service_id service;
+    /// Index in service_config::classes, or its size for callers of no class.
+    std::uint32_t callerClass {};
+    std::uint32_t newFlows {};
+    std::uint32_t refused {};
+
+    friend bool operator==(const class_evidence&, const class_evidence&) = default;
+};
+
+} // namespace shallotcove::core
--- a/include/shallotcove/core/control_engine.hpp
+++ b/include/shallotcove/core/control_engine.hpp
@@ -6,86 +6,27 @@
 #include <string>
 #include <vector>
 
-#include <tl/expected.hpp>
-
+#include <shallotcove/core/address_decision.hpp>
+#include <shallotcove/core/capacity_estimator.hpp>
+#include <shallotcove/core/control_engine_options.hpp>
+#include <shallotcove/core/control_engine_output.hpp>
+#include <shallotcove/core/ids.hpp>
+#include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/core/listed_host.hpp>
 #include <shallotcove/core/member.hpp>
 #include <shallotcove/core/packet_engine.hpp>
+#include <shallotcove/core/packet_engine_output.hpp>
 #include <shallotcove/core/peer_message.hpp>
+#include <shallotcove/core/store_entry.hpp>
+#include <shallotcove/core/store_write.hpp>
 #include <shallotcove/core/time.hpp>
+#include <tl/expected.hpp>
 
 namespace shallotcove::core {
 
 struct routing_snapshot;
-
 enum class control_engine_error : std::uint8_t { NoPeerAddress, NoDataCentre };
 
-struct control_engine_options {
-    /// This host as its settings describe it; its incarnation comes from the wall clock at start.
-    member self;
-    /// Peer addresses to join through, besides the platform's list.
-    std::vector<socket_address> seeds;
-    std::uint64_t flowHashSeed {};
-    /// Seed of the random choices of probe targets.
-    std::uint64_t randomSeed {};
-    duration probePeriod { std::chrono::milliseconds { 400 } };
-    duration probeTimeout { std::chrono::milliseconds { 200 } };
-    duration suspicionTimeout { std::chrono::milliseconds { 2000 } };
-    std::uint32_t indirectProbes { 3 };
-    /// A gap between two calls of advance() above this makes the host unsynchronized.
-    duration pauseThreshold { std::chrono::seconds { 1 } };
-    duration isolationTimeout { std::chrono::seconds { 3 } };
-    duration plannerLease { std::chrono::seconds { 5 } };
-    /// Hosts in each data centre that watch the store.
-    std::uint32_t watchersPerDataCentre { 2 };
-    /// Whether the planner corrects weights by load reports.
-    bool hasLoadFeedback { true };
-};
-
-/// One key of the store as a watch or a read delivers it.
-struct store_entry {
-    std::string key;
-    config_index modified;
-    bool isDeleted {};
-    std::string value;
-
-    friend bool operator==(const store_entry&, const store_entry&) = default;
-};
-
-/// A host as the platform's list shows it.
-struct listed_host {
-    socket_address peerAddress;
-    std::string dataCentre;
-    bool isLeaving {};
-
-    friend bool operator==(const listed_host&, const listed_host&) = default;
-};
-
-/// A compare-and-swap that the planner wants: write value if the key is still at expected (0: absent).
-struct store_write {
-    std::string key;
-    config_index expected;
-    std::string value;
-
-    friend bool operator==(const store_write&, const store_write&) = default;
-};
-
-/// What control_engine::advance() wants done.
-struct control_engine_output {
-    std::vector<addressed_message> messages;
-    /// Set when configuration, membership or limits changed since the last call.
-    std::shared_ptr<const routing_snapshot> snapshot;
-    /// Writes of the planner. At most one for each key is under way.
-    std::vector<store_write> writes;
-    /// Track batches and hints received, for the packet engine.
-    std::vector<peer_message> forPacketEngine;
-    /// Store keys whose new value cannot be read; their former value stays in force.
-    std::vector<std::string> unreadableKeys;
-    /// Whether this host should hold a watch on the store.
-    bool shouldWatchStore {};
-    /// Whether this host should try to take or keep the planner's lease.
-    bool shouldHoldPlannerLease {};
-};
-
 /// Membership, configuration, limits and planning of one entry host. Not thread safe: the peer thread owns
 /// it.
 class control_engine {
--- /dev/null
+++ b/include/shallotcove/core/listed_host.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <shallotcove/core/ids.hpp>
+#include <shallotcove/core/ip_address.hpp>
+#include <string>
+
+namespace shallotcove::core {
+
+/// A host as the platform's list shows it.
+struct listed_host {
+    socket_address peerAddress;
+    std::string dataCentre;
+    bool isLeaving {};
+
+    friend bool operator==(const listed_host&, const listed_host&) = default;
+};
+
+} // namespace shallotcove::core
--- /dev/null
+++ b/include/shallotcove/core/operation_record.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <shallotcove/core/ids.hpp>
+
+namespace shallotcove::core {
+
+/// An operator's change, kept so that a repeat with the same id learns the outcome.
+struct operation_record {
+    std::string id;
+    std::string author;
+    std::string summary;
+    /// Revision of the service that the operation made.
+    std::uint64_t revision {};
+
+    friend bool operator==(const operation_record&, const operation_record&) = default;
+};
+
+} // namespace shallotcove::core
--- /dev/null
+++ b/include/shallotcove/core/packet_engine_output.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <vector>
+
+#include <shallotcove/core/class_evidence.hpp>
+#include <shallotcove/core/ids.hpp>
+#include <shallotcove/core/peer_message.hpp>
+#include <shallotcove/core/server_evidence.hpp>
+
+namespace shallotcove::core {
+
+/// What packet_engine::advance() wants sent or reported.
+struct packet_engine_output {
+    std::vector<addressed_message> messages;
+    std::vector<server_evidence> servers;
+    std::vector<class_evidence> classes;
+    /// As in member.
+    config_index retirementScanIndex;
+    config_index preparedScanIndex;
+    std::vector<service_id> blockedServices;
+};
+
+} // namespace shallotcove::core
--- a/include/shallotcove/daemon/host.hpp
+++ b/include/shallotcove/daemon/host.hpp
@@ -1,37 +1,18 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
-#include <tl/expected.hpp>
-
-#include <shallotcove/core/ip_address.hpp>
-#include <shallotcove/core/time.hpp>
 #include <shallotcove/daemon/event_log.hpp>
+#include <shallotcove/daemon/host_addresses.hpp>
+#include <shallotcove/daemon/host_options.hpp>
 #include <shallotcove/daemon/settings.hpp>
+#include <shallotcove/daemon/start_failure.hpp>
+#include <tl/expected.hpp>
 
 namespace shallotcove::daemon {
 
-/// Why a host cannot start, by the field of the settings that cannot be met.
-struct start_failure {
-    std::string field;
-    std::string value;
-    std::string cause;
-};
-
-/// Addresses in use, with the ports that the system chose.
-struct host_addresses {
-    core::socket_address packets;
-    core::socket_address peers;
-    core::socket_address operators;
-    core::socket_address metrics;
-};
-
-struct host_options {
-    /// The fabric must have sent nothing for this long before a graceful shutdown ends.
-    core::duration quietPeriod { std::chrono::seconds { 2 } };
-};
-
 enum class shutdown_state : std::uint8_t { Running, Draining, Quiet, TimedOut };
 
 /// One entry host: sockets, threads and the rings between them. create() starts the threads, the destructor
--- a/include/shallotcove/daemon/packet_worker.hpp
+++ b/include/shallotcove/daemon/packet_worker.hpp
@@ -2,11 +2,13 @@
 
 #include <memory>
 #include <variant>
-#include <vector>
 
 #include <shallotcove/core/packet_engine.hpp>
 #include <shallotcove/core/routing_snapshot.hpp>
+#include <shallotcove/daemon/handling_sample.hpp>
 #include <shallotcove/daemon/packet_counters.hpp>
+#include <shallotcove/daemon/packet_report.hpp>
+#include <shallotcove/daemon/packet_worker_options.hpp>
 #include <shallotcove/daemon/ring.hpp>
 #include <shallotcove/daemon/udp_socket.hpp>
 #include <shallotcove/wire/peer_key.hpp>
@@ -16,24 +18,6 @@
 /// What the peer thread sends to the packet thread.
 using packet_command = std::variant<std::shared_ptr<const core::routing_snapshot>, core::peer_message>;
 
-/// Time from the receipt of a batch to the decision on one of its packets.
-struct handling_sample {
-    core::service_id service;
-    core::duration elapsed {};
-};
-
-/// What the packet thread sends to the peer thread after each engine's advance().
-struct packet_report {
-    core::packet_engine_output output;
-    std::vector<handling_sample> samples;
-};
-
-struct packet_worker_options {
-    core::duration advancePeriod { std::chrono::milliseconds { 20 } };
-    /// Longest wait for a datagram; bounds the delay of commands while there is no traffic.
-    int idleWaitMilliseconds { 10 };
-};
-
 /// Owns the packet socket and the packet engine; all calls come from the packet thread.
 class packet_worker {
 public:
--- /dev/null
+++ b/include/shallotcove/daemon/readiness_change.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <shallotcove/steering/readiness.hpp>
+
+namespace shallotcove::daemon {
+
+/// A change of readiness, for the log.
+struct readiness_change {
+    steering::readiness_state from {};
+    steering::readiness_state to {};
+    int unreachablePercent {};
+};
+
+} // namespace shallotcove::daemon
--- a/include/shallotcove/daemon/settings.hpp
+++ b/include/shallotcove/daemon/settings.hpp
@@ -1,54 +1,22 @@
 #pragma once
 
 #include <chrono>
-#include <cstddef>
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 #include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/daemon/flow_settings.hpp>
+#include <shallotcove/daemon/host_list_settings.hpp>
+#include <shallotcove/daemon/log_format.hpp>
+#include <shallotcove/daemon/log_level.hpp>
+#include <shallotcove/daemon/log_settings.hpp>
+#include <shallotcove/daemon/settings_problem.hpp>
+#include <shallotcove/daemon/store_settings.hpp>
+#include <tl/expected.hpp>
 
 namespace shallotcove::daemon {
 
-enum class log_level : std::uint8_t { Debug, Info, Warning, Error };
-enum class log_format : std::uint8_t { Json, Text };
-
-struct store_settings {
-    core::socket_address address;
-    std::chrono::milliseconds requestTimeout { 2000 };
-
-    friend bool operator==(const store_settings&, const store_settings&) = default;
-};
-
-struct host_list_settings {
-    core::socket_address address;
-    std::chrono::milliseconds pollInterval { 1000 };
-
-    friend bool operator==(const host_list_settings&, const host_list_settings&) = default;
-};
-
-struct flow_settings {
-    /// Entries of the local flow table, a power of two.
-    std::size_t localFlows { 1U << 19 };
-    /// Entries of the table of tracked flows, a power of two.
-    std::size_t trackedFlows { 1U << 17 };
-    std::chrono::seconds idleTimeout { 900 };
-
-    friend bool operator==(const flow_settings&, const flow_settings&) = default;
-};
-
-struct log_settings {
-    log_level level { log_level::Info };
-    log_format format { log_format::Json };
-    /// Standard output if empty.
-    std::string file;
-
-    friend bool operator==(const log_settings&, const log_settings&) = default;
-};
-
 /// Settings of one host (docs/settings.md).
 struct settings {
     std::string name;
@@ -70,19 +38,6 @@
     friend bool operator==(const settings&, const settings&) = default;
 };
 
-/// One thing wrong with a settings file.
-struct settings_problem {
-    /// Path of the field, for example "store.address"; empty for a fault of the JSON itself.
-    std::string field;
-    /// Line in the file, from 1; 0 if the file could not be read.
-    std::size_t line {};
-    /// The value found; empty if the field is missing. Secrets are not repeated.
-    std::string value;
-    std::string message;
-
-    friend bool operator==(const settings_problem&, const settings_problem&) = default;
-};
-
 using settings_problems = std::vector<settings_problem>;
 
 /// Parses and validates settings. All problems are reported together, in the order of their lines.
--- a/include/shallotcove/daemon/udp_socket.hpp
+++ b/include/shallotcove/daemon/udp_socket.hpp
@@ -1,28 +1,19 @@
 #pragma once
 
-#include <cstddef>
 #include <string>
-#include <sys/socket.h>
-
-#include <tl/expected.hpp>
 
 #include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/daemon/metrics.hpp>
+#include <shallotcove/daemon/native_address.hpp>
+#include <shallotcove/daemon/udp_socket_options.hpp>
+#include <sys/socket.h>
+#include <tl/expected.hpp>
 
 namespace shallotcove::daemon {
 
-/// A socket address in the form that the system's calls take.
-struct native_address {
-    sockaddr_storage storage {};
-    socklen_t length {};
-};
-
 native_address toNative(const core::socket_address&);
-core::socket_address fromNative(const sockaddr_storage&);
 
-struct udp_socket_options {
-    /// Bytes asked of the system for each direction; the system may give less.
-    int bufferBytes { 1 << 20 };
-};
+core::socket_address fromNative(const sockaddr_storage&);
 
 /// Non-blocking UDP socket bound to one address.
 class udp_socket {
--- /dev/null
+++ b/include/shallotcove/steering/item_key.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include <shallotcove/steering/flow_address.hpp>
+#include <shallotcove/steering/item_kind.hpp>
+
+namespace shallotcove::steering {
+
+/// What an item of the store is about.
+struct item_key {
+    item_kind kind {};
+    /// Data centre or server; empty for the configuration.
+    std::string name;
+
+    std::string toString() const;
+
+    friend auto operator<=>(const item_key&, const item_key&) = default;
+};
+
+} // namespace shallotcove::steering
--- a/include/shallotcove/steering/neighbour_loads.hpp
+++ b/include/shallotcove/steering/neighbour_loads.hpp
@@ -20,6 +20,7 @@
     using field = std::uint32_t server_record::*;
 
     neighbour_loads(field total, core::duration lifetime);
+    void setLifetime(core::duration lifetime) { m_lifetime = lifetime; }
 
     /// Replaces what the reporter said before.
     void apply(const Reporter&, const load_report&, server_directory&, core::timestamp now);
--- a/include/shallotcove/steering/readiness.hpp
+++ b/include/shallotcove/steering/readiness.hpp
@@ -4,21 +4,13 @@
 #include <optional>
 
 #include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/flow_address.hpp>
+#include <shallotcove/steering/packet_decision.hpp>
+#include <shallotcove/steering/readiness_inputs.hpp>
+#include <shallotcove/steering/readiness_options.hpp>
 
 namespace shallotcove::steering {
 
-struct readiness_options {
-    /// Share of new flows with unreachable servers from which on a host asks to get no more callers.
-    double unreachableShare { 0.5 };
-    /// The share has to hold this long.
-    core::duration confirmation { std::chrono::milliseconds { 100 } };
-    /// A host that knows no other way to find out takes callers again after this time.
-    core::duration blindRetry { std::chrono::milliseconds { 1500 } };
-    /// After an isolation a host stays ready this long, so that routers are not sent back and forth, and the
-    /// hosts of a fleet whose servers are all down stay in use.
-    core::duration holdAfterIsolation { std::chrono::milliseconds { 2000 } };
-};
-
 enum class readiness_state : std::uint8_t {
     /// Configuration or servers are not known yet.
     Starting,
@@ -28,16 +20,6 @@
     Stopping,
 };
 
-/// What the decision rests on.
-struct readiness_inputs {
-    bool isInformed {};
-    bool isStopping {};
-    double unreachableShare {};
-    /// Whether the host can ask hosts near the servers, and whether one answered since it is isolated.
-    bool canAskOthers {};
-    bool othersAnswered {};
-};
-
 /// Decides whether the routers should send callers to this host.
 class readiness {
 public:
--- /dev/null
+++ b/include/shallotcove/steering/removed_item.hpp
@@ -0,0 +1,10 @@
+#pragma once
+#include <shallotcove/steering/flow_address.hpp>
+
+namespace shallotcove::steering {
+
+struct removed_item {
+    friend bool operator==(const removed_item&, const removed_item&) = default;
+};
+
+} // namespace shallotcove::steering
--- a/include/shallotcove/steering/route.hpp
+++ b/include/shallotcove/steering/route.hpp
@@ -1,27 +1,15 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace shallotcove::steering {
-
-/// IPv4 address and port that callers connect to, in host byte order.
-struct route_address {
-    std::uint32_t address {};
-    std::uint16_t port {};
-
-    friend auto operator<=>(const route_address&, const route_address&) = default;
-};
+#include <shallotcove/steering/flow_address.hpp>
+#include <shallotcove/steering/route_address.hpp>
+#include <shallotcove/steering/weighted_service.hpp>
 
-struct weighted_service {
-    std::string service;
-    std::uint32_t weight {};
-
-    friend auto operator<=>(const weighted_service&, const weighted_service&) = default;
-};
+namespace shallotcove::steering {
 
 /// Where new flows to one address and port go.
 struct route {
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -61,6 +61,8 @@
     /// Addresses of all hosts known, this one included; they share the limits of cold servers. So many others
     /// are in this data centre.
     void setHosts(std::vector<std::uint32_t> hosts, std::uint32_t self, std::size_t neighbours);
+    /// Neighbours tell their loads this often.
+    void setLoadInterval(core::duration);
     /// Another data centre can be reached again, by other evidence than flows.
     void trustDataCentre(const std::string& dataCentre);
 
--- a/include/shallotcove/steering/store_change.hpp
+++ b/include/shallotcove/steering/store_change.hpp
@@ -1,44 +1,19 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
-#include <string>
 #include <variant>
 
+#include <shallotcove/steering/data_centre_out.hpp>
+#include <shallotcove/steering/flow_address.hpp>
+#include <shallotcove/steering/item_key.hpp>
+#include <shallotcove/steering/item_kind.hpp>
+#include <shallotcove/steering/removed_item.hpp>
 #include <shallotcove/steering/routing_config.hpp>
 #include <shallotcove/steering/server_entry.hpp>
+#include <shallotcove/steering/unreadable_item.hpp>
 
 namespace shallotcove::steering {
 
-enum class item_kind : std::uint8_t { Config, DataCentreOut, Server };
-
-/// What an item of the store is about.
-struct item_key {
-    item_kind kind {};
-    /// Data centre or server; empty for the configuration.
-    std::string name;
-
-    std::string toString() const;
-
-    friend auto operator<=>(const item_key&, const item_key&) = default;
-};
-
-struct removed_item {
-    friend bool operator==(const removed_item&, const removed_item&) = default;
-};
-
-/// The item marks a data centre as taken out; it has no content.
-struct data_centre_out {
-    friend bool operator==(const data_centre_out&, const data_centre_out&) = default;
-};
-
-/// The item is there, but means nothing.
-struct unreadable_item {
-    std::string cause;
-
-    friend bool operator==(const unreadable_item&, const unreadable_item&) = default;
-};
-
 using item_content
     = std::variant<removed_item, unreadable_item, routing_config, data_centre_out, server_entry>;
 
--- a/include/shallotcove/steering/store_view.hpp
+++ b/include/shallotcove/steering/store_view.hpp
@@ -4,29 +4,18 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include <shallotcove/core/time.hpp>
+#include <shallotcove/steering/flow_address.hpp>
+#include <shallotcove/steering/item_key.hpp>
+#include <shallotcove/steering/neighbour_loads.hpp>
 #include <shallotcove/steering/store_change.hpp>
+#include <shallotcove/steering/store_view_options.hpp>
+#include <shallotcove/steering/view_update.hpp>
 
 namespace shallotcove::steering {
 
-/// A change that is in force from now on.
-struct view_update {
-    store_change change;
-    /// For a removed server: its entry may only have lapsed while the store was in trouble.
-    bool isDoubtful {};
-
-    friend bool operator==(const view_update&, const view_update&) = default;
-};
-
-struct store_view_options {
-    /// Entries that vanish this soon after trouble with the store may have lapsed: they do after three
-    /// heartbeats and the store's own recovery.
-    core::duration troubleWindow { std::chrono::seconds { 10 } };
-};
-
 /// What a host holds to be in the store. Nothing in force goes back, however late, stale or incomplete the
 /// answers of the store are.
 class store_view {
--- a/include/shallotcove/store/http_exchange.hpp
+++ b/include/shallotcove/store/http_exchange.hpp
@@ -1,20 +1,17 @@
 #pragma once
 
-#include <utility>
-
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/verb.hpp>
-
-#include <tl/expected.hpp>
-
 #include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/store/http_answer.hpp>
+#include <shallotcove/store/http_question.hpp>
+#include <tl/expected.hpp>
 
 namespace shallotcove::store {
 
@@ -27,17 +24,6 @@
     Malformed,
 };
 
-struct http_answer {
-    unsigned status {};
-    std::string body;
-};
-
-struct http_question {
-    boost::beast::http::verb method { boost::beast::http::verb::post };
-    std::string target;
-    std::string body;
-};
-
 /// Everything in the store fits: a few thousand values, Base64-encoded.
 inline constexpr std::size_t maximumAnswerBytes = std::size_t { 64 } << 20;
 
--- a/src/daemon/field_reader.hpp
+++ b/src/daemon/field_reader.hpp
@@ -1,31 +1,23 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "config_commands.hpp"
+#include "number_range.hpp"
+#include "text_rule.hpp"
 #include <json/json.h>
-
 #include <shallotcove/core/ip_address.hpp>
+#include <shallotcove/daemon/event_log.hpp>
+#include <shallotcove/daemon/metrics.hpp>
 #include <shallotcove/daemon/settings.hpp>
 
 namespace shallotcove::daemon {
 
-struct number_range {
-    std::uint64_t least {};
-    std::uint64_t most {};
-    bool isPowerOfTwo {};
-};
-
-struct text_rule {
-    std::size_t least { 1 };
-    std::size_t most { 255 };
-    /// Whether the value is left out of problem reports.
-    bool isSecret {};
-};
-
 enum class presence : std::uint8_t { Required, Optional };
 
 /// Reads the fields of one JSON object and collects everything wrong with them.
--- a/src/daemon/peer_port.hpp
+++ b/src/daemon/peer_port.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
+#include "packet_batch.hpp"
+#include "peer_datagram.hpp"
+#include "peer_port_counters.hpp"
+#include <shallotcove/core/ids.hpp>
+#include <shallotcove/core/ip_address.hpp>
 #include <shallotcove/core/peer_message.hpp>
 #include <shallotcove/daemon/udp_socket.hpp>
 #include <shallotcove/wire/peer_codec.hpp>
@@ -14,23 +18,6 @@
 
 namespace shallotcove::daemon {
 
-/// Counters of the peer port since the start.
-struct peer_port_counters {
-    std::uint64_t sentBytes {};
-    std::uint64_t receivedBytes {};
-    /// By wire::peer_codec_error.
-    std::array<std::uint64_t, 8> dropped {};
-    std::uint64_t sendFailed {};
-    std::string lastDroppedSender;
-    std::string lastSendFailure;
-};
-
-struct peer_datagram {
-    core::host_id from;
-    core::socket_address fromAddress;
-    core::peer_message message;
-};
-
 /// Sends and receives peer messages: envelopes, checksums and the replay filter.
 class peer_port {
 public:
--- /dev/null
+++ b/src/daemon/peer_port_counters.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <shallotcove/daemon/ring.hpp>
+#include <string>
+
+namespace shallotcove::daemon {
+
+/// Counters of the peer port since the start.
+struct peer_port_counters {
+    std::uint64_t sentBytes {};
+    std::uint64_t receivedBytes {};
+    /// By wire::peer_codec_error.
+    std::array<std::uint64_t, 8> dropped {};
+    std::uint64_t sendFailed {};
+    std::string lastDroppedSender;
+    std::string lastSendFailure;
+};
+
+} // namespace shallotcove::daemon
--- a/src/daemon/tagged_packet_worker.cpp
+++ b/src/daemon/tagged_packet_worker.cpp
@@ -307,6 +307,7 @@
             const std::vector<std::uint32_t> hosts = m_hosts.addresses();
             m_neighbourCount = neighbours;
             m_engine.setHosts(hosts, m_options.hosts.self.address, neighbours);
+            m_engine.setLoadInterval(m_hosts.loadInterval());
             m_channels.counters.hosts.store(hosts.size(), std::memory_order_relaxed);
         }
         m_channels.counters.flows.store(m_engine.flowCount(), std::memory_order_relaxed);
--- a/src/steering/host_directory.cpp
+++ b/src/steering/host_directory.cpp
@@ -11,6 +11,8 @@
 
     // Fits one datagram; fleets that are larger are found through several answers.
     constexpr std::size_t maximumHostsPerMessage = 64;
+    // A neighbour is taken to be gone after so many messages that did not come.
+    constexpr int missedMessages = 3;
     // Well above any fleet; bounds what forged messages can take.
     constexpr std::size_t maximumContacts = 4096;
 
@@ -47,8 +49,8 @@
     if (!message.wantsHosts)
         return answer;
     for (const auto& [address, other] : m_contacts) {
-        const bool isAlive = other.heardAt && now - *other.heardAt < m_options.silence;
-        if (address != from && isAlive && answer.message.hosts.size() < maximumHostsPerMessage)
+        const bool wasHeardLately = other.heardAt && now - *other.heardAt < m_options.silence;
+        if (address != from && wasHeardLately && answer.message.hosts.size() < maximumHostsPerMessage)
             answer.message.hosts.push_back({ address, other.dataCentre });
     }
     return answer;
@@ -63,14 +65,15 @@
         return now - known.second.heardAt.value_or(known.second.knownSince) >= m_options.memory;
     });
     m_isChanged = m_isChanged || m_contacts.size() != before;
+    chooseContacts(now);
     const bool hasNewLoads = loads != m_lastLoads;
     bool areLoadsSent = false;
     for (auto& [address, known] : m_contacts) {
-        if (now - known.heardAt.value_or(known.knownSince) >= m_options.silence)
+        if (!isAlive(known, now))
             continue;
-        if (known.dataCentre != m_options.self.dataCentre && !isFarContact(address, known, now))
+        if (known.dataCentre != m_options.self.dataCentre && !m_farContacts.contains(address))
             continue;
-        if (known.sentAt && now - *known.sentAt < intervalOf(known, needs, hasNewLoads, now))
+        if (known.sentAt && now - *known.sentAt < intervalOf(known, needs, hasNewLoads))
             continue;
         outgoing_message next { address, greeting(view, now) };
         const bool isFar = known.dataCentre != m_options.self.dataCentre;
@@ -144,7 +147,19 @@
 bool host_directory::isRecent(const contact& known, core::timestamp now) const
 {
     return known.dataCentre == m_options.self.dataCentre && known.heardAt
-        && now - *known.heardAt < m_options.recentlyHeard;
+        && now - *known.heardAt < std::max(m_options.recentlyHeard, missedMessages * loadInterval());
+}
+
+bool host_directory::isAlive(const contact& known, core::timestamp now) const
+{
+    return now - known.heardAt.value_or(known.knownSince) < m_options.silence;
+}
+
+core::duration host_directory::loadInterval() const
+{
+    const double spread = static_cast<double>(m_nearContacts) / m_options.messagesPerSecond;
+    return std::max(m_options.loadInterval,
+        std::chrono::duration_cast<core::duration>(std::chrono::duration<double> { spread }));
 }
 
 watch_duty host_directory::duty(core::timestamp now) const
@@ -167,7 +182,7 @@
 }
 
 core::duration host_directory::intervalOf(
-    const contact& known, const far_needs& needs, bool hasNewLoads, core::timestamp now) const
+    const contact& known, const far_needs& needs, bool hasNewLoads) const
 {
     if (!known.heardAt)
         return m_options.seedInterval;
@@ -175,11 +190,7 @@
         return needs.loads       ? m_options.loadFarInterval
             : needs.reachability ? m_options.urgentFarInterval
                                  : m_options.farInterval;
-    if (!hasNewLoads)
-        return m_options.idleInterval;
-    const double spread = static_cast<double>(neighbourCount(now)) / m_options.messagesPerSecond;
-    return std::max(m_options.loadInterval,
-        std::chrono::duration_cast<core::duration>(std::chrono::duration<double> { spread }));
+    return hasNewLoads ? loadInterval() : std::max(m_options.idleInterval, loadInterval());
 }
 
 std::size_t host_directory::neighbourCount(core::timestamp now) const
@@ -188,20 +199,30 @@
         [this, now](const auto& known) { return isRecent(known.second, now); }));
 }
 
-bool host_directory::isFarContact(std::uint32_t address, const contact& known, core::timestamp now) const
+void host_directory::chooseContacts(core::timestamp now)
 {
     // Each host has others, so that the messages to a data centre are spread over its hosts.
     const auto rankOf = [this](std::uint32_t other) {
         const std::uint32_t parts[] { m_options.self.address, other };
         return XXH64(parts, sizeof parts, 0);
     };
-    const std::uint64_t rank = rankOf(address);
-    std::size_t before = 0;
-    for (const auto& [other, candidate] : m_contacts) {
-        const bool isAlive = now - candidate.heardAt.value_or(candidate.knownSince) < m_options.silence;
-        before += candidate.dataCentre == known.dataCentre && isAlive && rankOf(other) < rank ? 1 : 0;
+    m_nearContacts = 0;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::uint32_t>>> candidates;
+    for (const auto& [address, known] : m_contacts) {
+        if (!isAlive(known, now))
+            continue;
+        if (known.dataCentre == m_options.self.dataCentre)
+            ++m_nearContacts;
+        else
+            candidates[known.dataCentre].emplace_back(rankOf(address), address);
+    }
+    m_farContacts.clear();
+    for (auto& [dataCentre, ranked] : candidates) {
+        const std::size_t chosen = std::min(ranked.size(), m_options.farContacts);
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(chosen), ranked.end());
+        for (std::size_t index = 0; index < chosen; ++index)
+            m_farContacts.insert(ranked[index].second);
     }
-    return before < m_options.farContacts;
 }
 
 void host_directory::learn(const known_host& host, core::timestamp now)
--- a/src/steering/host_directory_test.cpp
+++ b/src/steering/host_directory_test.cpp
@@ -110,3 +110,29 @@
     }
     cr_assert(sent == 5, "%zu", sent);
 }
+
+// Guards against messages between hosts that grow with the square of their number, and against loads and
+// neighbours that are forgotten between two of them.
+Test(host_directory, messages_stay_few_in_a_large_data_centre)
+{
+    host_directory_options options;
+    options.self = { 1, "a" };
+    host_directory host(options);
+    neighbour_message greeting;
+    greeting.dataCentre = "a";
+    const auto hearAll = [&](double now) {
+        for (std::uint32_t other = 2; other <= 201; ++other)
+            host.handle(other, greeting, {}, {}, at(now));
+    };
+    std::size_t sent = 0;
+    for (double now = 0; now < 10000; now += 50) {
+        if (static_cast<int>(now) % 2000 == 0)
+            hearAll(now);
+        // The loads stay the same at first and change all the time later.
+        const std::uint32_t load = now < 5000 ? 1 : static_cast<std::uint32_t>(now);
+        sent += host.advance({ { tagOf("i-1"), load } }, {}, {}, at(now)).size();
+        cr_assert_eq(host.neighbourCount(at(now)), 200);
+    }
+    cr_assert_leq(sent, static_cast<std::size_t>(1.1 * 10 * options.messagesPerSecond), "%zu", sent);
+    cr_assert(host.loadInterval() == std::chrono::seconds { 2 });
+}
--- a/src/steering/steering_engine_knowledge.cpp
+++ b/src/steering/steering_engine_knowledge.cpp
@@ -69,6 +69,12 @@
     m_cold.setHosts(std::move(hosts), self);
 }
 
+void steering_engine::setLoadInterval(core::duration interval)
+{
+    // One report may be lost.
+    m_neighbours.setLifetime(std::max(m_options.neighbourLoadLifetime, 2 * interval + interval / 2));
+}
+
 void steering_engine::trustDataCentre(const std::string& dataCentre)
 {
     const auto found = m_dataCentres.find(dataCentre);
