Carry limits of cold servers to the hosts that learn from neighbours

The MessagePack library writes a whole number as an integer, also from a double; the reader took it for a mistake and gave zero, which means no limit, and mistakes in inner arrays did not refuse the message.

Ruled out: the shares of the hosts (all knew 120 hosts), the entries (4 s cold at every host).

Change: whole numbers are read as such; a mistake in a route, its targets or a service refuses the whole message, and the host reads from the store or another neighbour instead.

--- a/src/wire/array_reader.cpp
+++ b/src/wire/array_reader.cpp
@@ -57,6 +57,11 @@
     const msgpack::object* const element = next();
     if (element == nullptr)
         return 0;
+    // The library writes whole numbers as integers, whatever their type.
+    if (element->type == msgpack::type::POSITIVE_INTEGER)
+        return static_cast<double>(element->via.u64);
+    if (element->type == msgpack::type::NEGATIVE_INTEGER)
+        return static_cast<double>(element->via.i64);
     const bool isReal = element->type == msgpack::type::FLOAT64 || element->type == msgpack::type::FLOAT32;
     if (!isReal || !std::isfinite(element->via.f64)) {
         m_isGood = false;
--- a/src/wire/peer_reader.hpp
+++ b/src/wire/peer_reader.hpp
@@ -43,6 +43,8 @@
     bool isGood() const { return m_isGood; }
     /// Whether all elements were read without a mistake.
     bool isComplete() const { return m_isGood && m_position == m_elements.size(); }
+    /// An inner array that was not read without a mistake is a mistake of this one.
+    void require(const array_reader& inner) { m_isGood = m_isGood && inner.isComplete(); }
 
 private:
     array_reader() = default;
--- a/src/wire/view_codec.cpp
+++ b/src/wire/view_codec.cpp
@@ -88,8 +88,9 @@
         return std::chrono::milliseconds { reader.readNumber(std::numeric_limits<std::int64_t>::max()) };
     }
 
-    steering::route readRoute(array_reader reader)
+    steering::route readRoute(array_reader& routes)
     {
+        array_reader reader = routes.readArray(8);
         steering::route route;
         route.name = reader.readText(maximumTextBytes);
         route.at.address = reader.read<std::uint32_t>();
@@ -102,10 +103,14 @@
             array_reader target = targets.readArray(2);
             const std::string service = target.readText(maximumTextBytes);
             route.targets.push_back({ service, target.read<std::uint32_t>() });
+            targets.require(target);
         }
+        reader.require(targets);
         array_reader regions = reader.readArray(maximumElements);
         while (regions.remaining() > 0)
             route.homeRegions.push_back(regions.readText(maximumTextBytes));
+        reader.require(regions);
+        routes.require(reader);
         return route;
     }
 
@@ -115,14 +120,17 @@
         config.version = reader.readNumber(maximumNumber);
         array_reader routes = reader.readArray(maximumElements);
         while (routes.remaining() > 0)
-            config.routes.push_back(readRoute(routes.readArray(8)));
+            config.routes.push_back(readRoute(routes));
+        reader.require(routes);
         array_reader services = reader.readArray(maximumElements);
         while (services.remaining() > 0) {
             array_reader rules = services.readArray(3);
             const std::string name = rules.readText(maximumTextBytes);
             const std::chrono::milliseconds coldAfterStart = readMilliseconds(rules);
             config.services.push_back({ name, coldAfterStart, rules.readReal() });
+            services.require(rules);
         }
+        reader.require(services);
         return config;
     }
 
