Try a suspect server again when nothing was heard of its trial

A trial of which nothing is heard, since its caller left or another server answered first, left it suspect for good: one host distrusted two data centres 20 s after a cut link had healed.

Ruled out: the servers' load, readiness (4 trusted servers nearby).

Change: a trial counts for one time of suspicion; then another flow may try.

Test: opening_evidence_test, lost_trial_is_followed_by_another.

--- a/include/shallotcove/steering/opening_evidence.hpp
+++ b/include/shallotcove/steering/opening_evidence.hpp
@@ -21,8 +21,8 @@
     /// A server that started anew has no record.
     void reset() { *this = {}; }
 
-    /// Whether the server gets new flows: it is trusted, or its suspicion has passed and no trial is under
-    /// way.
+    /// Whether the server gets new flows: it is trusted, or its suspicion has passed since it began or since
+    /// the last trial.
     bool admits(core::timestamp now) const;
     bool isSuspect() const { return m_isSuspect; }
     std::uint32_t unanswered() const { return m_unanswered; }
--- a/src/steering/opening_evidence.cpp
+++ b/src/steering/opening_evidence.cpp
@@ -31,13 +31,13 @@
 
 void opening_evidence::recordPlacement(core::timestamp now)
 {
-    if (m_isSuspect && now >= m_suspectUntil)
-        m_isTrialPending = true;
+    if (!m_isSuspect || now < m_suspectUntil)
+        return;
+    m_isTrialPending = true;
+    // The trial may be lost, with its caller for example, so that nothing is heard of it.
+    m_suspectUntil = now + m_suspicion;
 }
 
-bool opening_evidence::admits(core::timestamp now) const
-{
-    return !m_isSuspect || (now >= m_suspectUntil && !m_isTrialPending);
-}
+bool opening_evidence::admits(core::timestamp now) const { return !m_isSuspect || now >= m_suspectUntil; }
 
 } // namespace shallotcove::steering
