--- a/src/soak/caller_fleet.cpp
+++ b/src/soak/caller_fleet.cpp
@@ -1,12 +1,12 @@
 #include "caller_fleet.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include "testbench/endpoints.hpp"
 
 #include "flow_router.hpp"
+#include "opening_copies.hpp"
 #include "promise_checker.hpp"
 #include "request_payload.hpp"
 #include "soak_clock.hpp"
@@ -17,8 +17,6 @@
 namespace {
 
     // As the platform's pages say of callers.
-    constexpr std::array<std::chrono::milliseconds, 3> copyAges { std::chrono::milliseconds { 0 },
-        std::chrono::milliseconds { 200 }, std::chrono::milliseconds { 600 } };
     constexpr std::chrono::milliseconds openingTimeout { 1400 };
     constexpr std::chrono::milliseconds firstRepeat { 200 };
     constexpr std::chrono::milliseconds longestRepeat { 1600 };
@@ -118,8 +116,9 @@
     opened.following = following;
     const std::uint32_t sequence = opened.sequence;
     m_flows[flow] = std::move(opened);
-    for (std::uint32_t copy = 0; copy < copyAges.size(); ++copy)
-        m_work.runAfter(copyAges[copy], [this, flow, sequence, copy] { sendOpening(flow, sequence, copy); });
+    for (std::uint32_t copy = 0; copy < openingCopyAges.size(); ++copy)
+        m_work.runAfter(
+            openingCopyAges[copy], [this, flow, sequence, copy] { sendOpening(flow, sequence, copy); });
     m_work.runAfter(openingTimeout, [this, flow, sequence] {
         calling_flow* const known = find(flow, sequence);
         if (known != nullptr && !known->isOpen)
--- a/src/soak/promise_checker.cpp
+++ b/src/soak/promise_checker.cpp
@@ -178,6 +178,12 @@
         report(promise::OrderlyEnds, now, host + " took longer than its grace time to end");
 }
 
+void promise_checker::recordOverdueEnd(const std::string& host, core::timestamp now)
+{
+    count(promise::OrderlyEnds);
+    report(promise::OrderlyEnds, now, host + " still runs after its grace time");
+}
+
 void promise_checker::recordOpening(const steering::flow_address& flow, const std::string& server,
     const std::string& host, core::timestamp sentAt, core::timestamp now)
 {
--- a/src/soak/promise_checker.hpp
+++ b/src/soak/promise_checker.hpp
@@ -52,6 +52,9 @@
     void recordExit(const std::string& host, std::optional<core::timestamp> toldAt, bool wasKilled,
         int status, core::timestamp now);
 
+    /// The process was told to end and still runs after its grace time.
+    void recordOverdueEnd(const std::string& host, core::timestamp now);
+
     // What callers and servers saw.
 
     /// A server took the first packet of a flow that its caller sent at a time.
--- a/src/soak/promise_checker_test.cpp
+++ b/src/soak/promise_checker_test.cpp
@@ -221,6 +221,9 @@
     promise_checker slow = informedChecker();
     slow.recordExit("h1", at(1), false, 0, at(7.1));
     cr_assert(isBroken(slow, promise::OrderlyEnds));
+    promise_checker overdue = informedChecker();
+    overdue.recordOverdueEnd("h1", at(7));
+    cr_assert(isBroken(overdue, promise::OrderlyEnds));
 }
 
 Test(promise_checker, lost_request_is_found_in_calm_times_only)
--- a/src/soak/server_fleet.cpp
+++ b/src/soak/server_fleet.cpp
@@ -1,12 +1,12 @@
 #include "server_fleet.hpp"
 
 #include <algorithm>
-#include <array>
 
 #include "testbench/endpoints.hpp"
 
 #include <platform/packet_layout.hpp>
 
+#include "opening_copies.hpp"
 #include "promise_checker.hpp"
 #include "request_payload.hpp"
 #include "soak_clock.hpp"
@@ -20,6 +20,11 @@
     constexpr std::uint32_t leastWorkMs = 15;
     constexpr std::uint32_t workSpreadMs = 50;
 
+    std::chrono::milliseconds ageOf(std::uint32_t copy)
+    {
+        return openingCopyAges[std::min<std::size_t>(copy, openingCopyAges.size() - 1)];
+    }
+
     steering::flow_address flowOf(const platform::testing::flow_segment& segment)
     {
         return { segment.source.address, segment.destination.address, segment.source.port,
@@ -38,13 +43,6 @@
 {
 }
 
-std::chrono::milliseconds server_fleet::ageOf(std::uint32_t copy)
-{
-    constexpr std::array<std::chrono::milliseconds, 3> ages { std::chrono::milliseconds { 0 },
-        std::chrono::milliseconds { 200 }, std::chrono::milliseconds { 600 } };
-    return ages[std::min<std::size_t>(copy, ages.size() - 1)];
-}
-
 tl::expected<void, std::string> server_fleet::addAddress(const core::socket_address& address)
 {
     tl::expected<std::unique_ptr<testbench::datagram_port>, std::string> port
@@ -100,12 +98,6 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-const steering::server_entry* server_fleet::at(const core::socket_address& address) const
-{
-    const living_server* const server = const_cast<server_fleet*>(this)->serverAt(address);
-    return server == nullptr ? nullptr : &server->entry;
-}
-
 void server_fleet::handle(
     const core::socket_address& own, std::span<const std::byte> datagram, std::uint32_t from)
 {
--- a/src/soak/server_fleet.hpp
+++ b/src/soak/server_fleet.hpp
@@ -47,8 +47,6 @@
 
     std::vector<std::string> living(const std::string& service) const;
     const steering::server_entry* find(const std::string& server) const;
-    /// The living server with an address, or null.
-    const steering::server_entry* at(const core::socket_address&) const;
 
 private:
     using flow_segment = platform::testing::flow_segment;
@@ -100,8 +98,6 @@
     std::uint16_t m_callerPort {};
     std::map<core::socket_address, std::unique_ptr<testbench::datagram_port>> m_ports;
     std::map<std::string, living_server> m_servers;
-    /// First packets whose age is known by their copy number.
-    static std::chrono::milliseconds ageOf(std::uint32_t copy);
 };
 
 } // namespace shallotcove::soak
--- a/src/soak/soak_options.hpp
+++ b/src/soak/soak_options.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace shallotcove::soak {
 
+/// How long a server of the soak is cold after its start.
+inline constexpr std::chrono::milliseconds coldTime { 4000 };
+
 struct soak_options {
     std::uint64_t seed { 1 };
     /// Faults come in this time; the calm time before and after them is added.
--- a/src/soak/soak_world.cpp
+++ b/src/soak/soak_world.cpp
@@ -27,7 +27,6 @@
     constexpr std::chrono::seconds startLimit { 20 };
     // Traffic after the recovery time, to be judged.
     constexpr std::chrono::milliseconds judgedTail { 3000 };
-    constexpr std::chrono::milliseconds coldTime { 4000 };
 
     const steering::route_address callersRoute { 0xc6120001, 443 };
     const steering::route_address otherRoute { 0xc6120003, 443 };
--- a/src/soak/soak_world_faults.cpp
+++ b/src/soak/soak_world_faults.cpp
@@ -22,7 +22,6 @@
     constexpr std::chrono::milliseconds entryLapse { 3600 };
     constexpr std::chrono::milliseconds reuseAfter { 2000 };
     constexpr std::chrono::milliseconds servesOnAfterDrain { 700 };
-    constexpr std::chrono::milliseconds coldTime { 4000 };
 
     proxy_mode modeOf(fault_kind kind)
     {
@@ -154,7 +153,7 @@
         // The platform's next signal; a host that was paused meanwhile had less than its time.
         if (m_states[host].endings == ending && m_states[host].pauses == 0) {
             log(host + " did not end in its grace time");
-            m_checker.recordExit(host, soakNow() - 2 * m_bounds.grace, false, 0, soakNow());
+            m_checker.recordOverdueEnd(host, soakNow());
         }
         if (m_states[host].endings == ending)
             kill(host, {});
