Show that an earlier flow between the same addresses misleads a host

Cause: the entry of a flow goes before the tag of a packet, outlives its flow by up to 8 s and covers all sequence numbers within 16 MB. No product code.

--- a/review/standin-2/tag_collision.cpp
+++ b/review/standin-2/tag_collision.cpp
@@ -1,4 +1,4 @@
-// Case 6: a host that is stopped and started under planned work sends open flows to another endpoint, because
+// Case 7: a host that is stopped and started under planned work sends open flows to another endpoint, because
 // the ids of two endpoints have the same 32-bit tag and the hosts do not agree on which of them has it.
 
 #include "world.hpp"
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -30,6 +30,8 @@
     constexpr double graceMs = 6000;
     constexpr double restartDelayMs = 300;
     constexpr std::uint32_t sumKey = 0x7265;
+    constexpr int firstPort = 20000;
+    constexpr double shortestReuseMs = 1000;
     constexpr const char* program = "target/sbin/shallotcoved";
 
     std::uint32_t addressOf(const std::string& text) { return ntohl(inet_addr(text.c_str())); }
@@ -112,6 +114,16 @@
         return result;
     }
 
+    /// Initial sequence number as RFC 9293 (3.4.1) asks for: a clock of 4 microseconds and a hash of the
+    /// addresses and ports.
+    std::uint32_t initialSequence(const flow_key& flow)
+    {
+        const std::string text = std::to_string(flow.callerAddress) + "/" + std::to_string(flow.callerPort)
+            + "/" + std::to_string(flow.serviceAddress) + "/" + std::to_string(flow.servicePort);
+        return static_cast<std::uint32_t>(
+            std::hash<std::string> {}(text) + static_cast<std::uint64_t>(250 * now()));
+    }
+
     std::string base64Of(const std::string& text)
     {
         static constexpr char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -913,11 +925,21 @@
 {
     const std::size_t index = m_random() % m_consumers.size();
     consumer& from = m_consumers[index];
-    const flow_key flow { addressOf(from.address), addressOf(m_network + "200.1"), ++from.nextPort,
-        route.port };
+    flow_key flow;
+    bool isFree = false;
+    for (int tries = 0; tries < m_options.portsPerConsumer && !isFree; ++tries) {
+        from.nextPort = (from.nextPort + 1) % m_options.portsPerConsumer;
+        const std::uint16_t port = static_cast<std::uint16_t>(firstPort + from.nextPort);
+        flow = { addressOf(from.address), addressOf(m_network + "200.1"), port, route.port };
+        const auto ended = from.endedAt.find(port);
+        isFree = !m_flows.contains(flow)
+            && (ended == from.endedAt.end() || now() - ended->second >= shortestReuseMs);
+    }
+    if (!isFree)
+        return;
     consumer_flow opened;
     opened.consumer = index;
-    opened.sequence = m_random();
+    opened.sequence = initialSequence(flow);
     opened.startedAt = now();
     opened.requestsLeft = requests;
     opened.pauseMs = pauseMs;
@@ -1020,7 +1042,14 @@
     at(now() + interval, [=, this] { sendClose(flow, sequence, copies - 1, 2 * interval); });
 }
 
-void world::endFlow(const flow_key& flow) { m_flows.erase(flow); }
+void world::endFlow(const flow_key& flow)
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return;
+    m_consumers[found->second.consumer].endedAt[flow.callerPort] = now();
+    m_flows.erase(found);
+}
 
 void world::receiveConsumer(consumer& receiver)
 {
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -83,6 +83,8 @@
     std::vector<service_definition> services;
     double processorShare { 0.055 };
     double heartbeatMs { 1200 };
+    /// Ports that a consumer uses in turn. A port is used again at the earliest 1 s after its flow has ended.
+    int portsPerConsumer { 40000 };
 };
 
 class world {
@@ -243,7 +245,8 @@
         std::string zone;
         std::string address;
         int socket { -1 };
-        std::uint16_t nextPort { 20000 };
+        int nextPort {};
+        std::map<std::uint16_t, milliseconds> endedAt;
     };
     struct lost_request {
         milliseconds at {};
