Read answers of the store 64 kB at a time

Cause: the buffer of an HTTP exchange was never enlarged. The parser reads as much as the capacity of the buffer allows, and 512 bytes if it has none, so that an answer with a configuration of 13 MB took some 36,500 reads.

Change: the buffer has 64 kB from the start.

--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -23,6 +23,9 @@
     // Long enough for two unanswered keep-alive probes.
     constexpr std::chrono::seconds deadPeerTimeout { 3 };
 
+    // The parser reads at most as much as the buffer's capacity at a time, and 512 bytes if it has none.
+    constexpr std::size_t receiveBufferBytes = 64 * 1024;
+
     void setTcpOption(asio::ip::tcp::socket& socket, int option, int value)
     {
         // Failures are ignored: without the option a dead peer is detected later, which only delays the next
@@ -80,6 +83,7 @@
         {
             m_request.body() = std::move(request.body);
             m_parser.body_limit(maximumResponseBytes);
+            m_buffer.reserve(receiveBufferBytes);
         }
 
         void start(const core::socket_address& server, const http_timeouts& timeouts)
