Steer a later flow between the same addresses by its own tag

Cause: a host keeps the record of a flow whose end passed another host. A packet counted as one of the recorded flow if its sequence number was within 16 MB, so that packets of the next flow from the same port went to the server of the earlier one, which reset them. Sequence numbers of TCP advance by 250,000 a second.

Change: a packet with another tag belongs to another flow if its sequence number is more than 64 kB from the highest one of the record; a later flow replaces the record. Ruled out: to go by the tag alone, since a late answer of a second server changes the tag that a caller repeats (changed_tag_does_not_move_an_open_flow).

--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -171,6 +171,9 @@
     packet_decision handleUntrackedFlow(const caller_packet&, core::timestamp now);
     packet_decision forwardByTag(const caller_packet&, core::timestamp now) const;
     static bool belongsTo(const caller_packet&, const flow_record&);
+    /// Handles a packet whose numbers show that it belongs to another flow between the same addresses than
+    /// the record. A later flow takes the place of the recorded one.
+    packet_decision handleOtherFlow(const caller_packet&, const flow_record&, core::timestamp now);
     packet_decision offerAgain(flow_record&, const route&, core::timestamp now);
     packet_decision enqueue(const caller_packet&, const route&, const std::string& service, const placement&,
         core::timestamp now);
--- a/include/shallotcove/steering/tracked_flows.hpp
+++ b/include/shallotcove/steering/tracked_flows.hpp
@@ -37,7 +37,10 @@
     bool isEstablished {};
     /// All servers that the flow was offered to, including the last one.
     std::vector<server_tag> offered;
+    /// The first packet of the flow, or the first that this host got if another host opened the flow.
     caller_packet opening;
+    /// Highest sequence number of the flow's packets at this host, relative to that of the first one.
+    std::int32_t highestSequence {};
     core::timestamp startedAt;
     core::timestamp offeredAt;
     core::timestamp lastPacketAt;
--- a/src/steering/open_flow_test.cpp
+++ b/src/steering/open_flow_test.cpp
@@ -91,6 +91,40 @@
     cr_assert(engine.servers().find(next)->openFlows == 1 && engine.servers().find(late.tag)->openFlows == 0);
 }
 
+// A host must not send the packets of a flow to the server of an earlier flow between the same addresses,
+// whose end passed another host. With sequence numbers from a clock, as those of TCP, they are close to each
+// other.
+Test(open_flow, later_flow_between_the_same_addresses_goes_to_its_own_server)
+{
+    const server_tag next = tagOf("i-4");
+    for (const bool wasOpenedHere : { false, true }) {
+        steering_engine engine = engineWithCompleteView();
+        const server_tag former = wasOpenedHere ? openFlow(engine, 1, 0) : tagOf("i-1");
+        cr_assert(engine.handlePacket(laterPacket(1, former, 200), at(10)).tag == former);
+        caller_packet request = laterPacket(1, next, 200);
+        request.sequence += 250000;
+        cr_assert(engine.handlePacket(request, at(1010)).tag == next);
+        cr_assert_eq(engine.servers().find(former)->openFlows, 0);
+        cr_assert_eq(engine.servers().find(next)->openFlows, 1);
+        const caller_packet late = laterPacket(1, former, 0, true);
+        cr_assert(engine.handlePacket(late, at(1020)).tag == former, "its own server answers it");
+        cr_assert_eq(engine.servers().find(next)->openFlows, 1);
+    }
+}
+
+// The flow must stay at its server if a late answer of another one changes the tag that the caller repeats,
+// however much the caller has sent before.
+Test(open_flow, changed_tag_does_not_move_an_open_flow)
+{
+    const server_tag first = tagOf("i-1");
+    steering_engine engine = engineWithCompleteView();
+    caller_packet packet = laterPacket(1, first, 1200);
+    for (double now = 0; now < 200; now += 1, packet.sequence += 1200)
+        cr_assert(engine.handlePacket(packet, at(now)).tag == first);
+    packet.tag = tagOf("i-4");
+    cr_assert(engine.handlePacket(packet, at(200)).tag == first);
+}
+
 // With the limit of two flows per slot, new flows of a service with long flows wait at the hosts although
 // they would be answered in time. Services without long flows keep that limit.
 Test(open_flow, servers_with_long_flows_take_more_new_flows)
--- a/src/steering/steering_engine.cpp
+++ b/src/steering/steering_engine.cpp
@@ -18,6 +18,18 @@
     // Upper bound of the bytes that a caller sends in one flow. A packet with a larger distance from the
     // start belongs to another flow.
     constexpr std::int32_t maximumFlowBytes = 1 << 24;
+    // Upper bound of the payload that a caller sends without an acknowledgement, with a reserve for packets
+    // that went through other hosts. The sequence numbers of the next flow between the same addresses start
+    // further away: those of TCP advance by 250,000 a second.
+    constexpr std::int32_t maximumBytesInFlight = 1 << 16;
+
+    /// Sequence number of the packet, relative to that of the first packet of the flow. Sequence numbers wrap
+    /// around.
+    std::int32_t relativeSequence(const caller_packet& packet, const flow_record& record)
+    {
+        return static_cast<std::int32_t>(packet.sequence - record.opening.sequence);
+    }
+
     // Events that have not been taken are dropped beyond this number. A host places far fewer flows between
     // two calls of takeEvents().
     constexpr std::size_t maximumEvents = 4096;
@@ -52,7 +64,7 @@
     flow_record* record = m_trackedFlows.find(packet.flow);
     // A late packet of an earlier flow between the same addresses must not affect the current flow.
     if (record != nullptr && !belongsTo(packet, *record))
-        return forwardByTag(packet, now);
+        return handleOtherFlow(packet, *record, now);
     if (permission == hold_permission::MayHold && isBehindHeldPackets(packet)) {
         if (record != nullptr)
             record->lastPacketAt = now;
@@ -70,11 +82,28 @@
 
 bool steering_engine::belongsTo(const caller_packet& packet, const flow_record& record)
 {
-    // Sequence numbers wrap around. A record that was created from a later packet may also see
-    // retransmissions of earlier ones.
-    const std::int32_t distance = static_cast<std::int32_t>(packet.sequence - record.opening.sequence);
-    return record.opening.isOpening ? distance >= 0 && distance <= maximumFlowBytes
-                                    : std::abs(distance) <= maximumFlowBytes;
+    const std::int32_t sequence = relativeSequence(packet, record);
+    // The tag alone is no proof of another flow: a late answer of a second server that the flow was offered
+    // to changes the tag that the caller repeats.
+    if (packet.tag != record.server && packet.tag != server_tag {}
+        && std::abs(std::int64_t { sequence } - record.highestSequence) > maximumBytesInFlight)
+        return false;
+    // A record that was created from a later packet may also see retransmissions of earlier ones.
+    return record.opening.isOpening ? sequence >= 0 && sequence <= maximumFlowBytes
+                                    : std::abs(std::int64_t { sequence }) <= maximumFlowBytes;
+}
+
+packet_decision steering_engine::handleOtherFlow(
+    const caller_packet& packet, const flow_record& record, core::timestamp now)
+{
+    // With random sequence numbers, a packet that is far ahead may be a late one of an earlier flow. The
+    // record of an ended flow is still needed for late copies of its first packet.
+    const std::int32_t sequence = relativeSequence(packet, record);
+    const bool isLater = sequence > record.highestSequence && sequence <= maximumFlowBytes;
+    if (!isLater || record.state == flow_state::Ended || m_servers.find(packet.tag) == nullptr)
+        return forwardByTag(packet, now);
+    removeFlow(packet.flow);
+    return handleUntrackedFlow(packet, now);
 }
 
 void steering_engine::removeFlow(const flow_address& flow)
@@ -103,6 +132,7 @@
     const caller_packet& packet, flow_record& record, hold_permission permission, core::timestamp now)
 {
     record.lastPacketAt = now;
+    record.highestSequence = std::max(record.highestSequence, relativeSequence(packet, record));
     if (record.state == flow_state::Opening && packet.isAcknowledging)
         markOpen(packet, record, now);
     if (record.state == flow_state::Open && trackAnswer(packet, record, now)) {
