Let all hosts choose the same server for a shared tag

Cause: of two servers whose ids have the same 32-bit hash, a host gave the tag to the one that it read first, and a host that starts reads them in another order than one that runs. Flows then reached a server that did not hold them.

Change: the server that started first holds the tag, whatever the order; the others wait and get no flows (event 618). When the holder leaves or restarts, the tag passes on, without the flows that were tracked for it.

The test of_two_servers_with_one_tag_the_first_keeps_it let both servers start at the same time and relied on the order of reading, which was the fault. It now plays both orders, with different times of start.

--- a/include/shallotcove/daemon/event.hpp
+++ b/include/shallotcove/daemon/event.hpp
@@ -76,6 +76,7 @@
     ServerUnanswered = 615,
     ServiceFull = 616,
     ServiceFree = 617,
+    ServerWithoutTag = 618,
     FlowLimitChanged = 620,
 };
 
@@ -240,6 +241,8 @@
         "servers of a service have free slots again",
         { "service", "dataCentre", "usableSlots", "requestsInProgress", "readyServers", "trustedServers",
             "slowServers" } },
+    event_definition { event::ServerWithoutTag, "ServerWithoutTag", log_level::Warning,
+        "server gets no flows, another one has the same tag", { "id", "holder" } },
     event_definition { event::FlowLimitChanged, "FlowLimitChanged", log_level::Info,
         "limit of flows per slot of a service changed", { "service", "flowsPer100Slots" } },
 };
--- a/include/shallotcove/steering/server_directory.hpp
+++ b/include/shallotcove/steering/server_directory.hpp
@@ -21,8 +21,8 @@
 
     // Commands.
 
-    /// Applies a new or changed entry. Returns false if another server has the same tag; the entry is then
-    /// ignored and its server gets no flows.
+    /// Applies a new or changed entry. Of the listed servers with the same tag, the one that started first
+    /// holds it. Returns false if that is another server; this one then gets no flows until it holds the tag.
     bool apply(const server_entry&, core::timestamp now);
     /// Handles an entry that is no longer in the store. If the removal is uncertain, the server stays in use
     /// for the time given in the options.
@@ -31,6 +31,9 @@
     /// ago.
     void expire(core::timestamp now);
     server_record* find(server_tag);
+    /// Returns the tags that passed to another server since the last call. Flows with such a tag belonged to
+    /// the former one.
+    std::vector<server_tag> takeReassignedTags();
 
     // Queries.
 
@@ -50,6 +53,10 @@
     }
 
 private:
+    /// Sets the entry of the server that holds its tag.
+    void setEntry(const server_entry&, core::timestamp now);
+    /// Gives the tag to the first of the servers that wait for it, if any.
+    void giveTagToFirst(server_tag, core::timestamp now);
     std::size_t dataCentreIndexOf(const std::string& dataCentre);
     /// Adds the server to the list of its service and to the count of its data centre.
     void addToService(server_record&);
@@ -59,6 +66,9 @@
     core::duration m_uncertainRemovalGrace;
     core::duration m_departedServerRetention;
     std::unordered_map<server_tag, server_record> m_records;
+    /// Listed servers whose tag another server holds.
+    std::unordered_map<server_tag, std::vector<server_entry>> m_serversWithoutTag;
+    std::vector<server_tag> m_reassignedTags;
     std::map<std::string, std::vector<server_record*>, std::less<>> m_services;
     std::vector<std::string> m_dataCentres;
     /// Servers that are in the store or whose removal is uncertain, by index of the data centre.
--- a/include/shallotcove/steering/steering_engine.hpp
+++ b/include/shallotcove/steering/steering_engine.hpp
@@ -211,6 +211,10 @@
     void removeFromEstablished(flow_record&);
     /// Removes all flows of a server that restarted, and so lost them, from its established flows.
     void forgetEstablishedFlows(server_tag);
+    /// Removes the flows of servers whose tag now belongs to another one.
+    void removeFlowsOfReassignedTags();
+    /// Adds an event for a server that gets no flows because another one holds its tag.
+    void reportSharedTag(const server_entry&, core::timestamp now);
     /// Removes servers that left long ago, and with them the count of their established flows.
     void expireServers(core::timestamp now);
     void measureRequestRates(core::timestamp now);
--- a/include/shallotcove/steering/steering_event.hpp
+++ b/include/shallotcove/steering/steering_event.hpp
@@ -24,6 +24,8 @@
     ServerTrusted,
     /// The server opens flows but leaves requests unanswered.
     ServerUnanswered,
+    /// The server gets no flows, because another one has the same tag and started earlier.
+    ServerWithoutTag,
     DataCentreSuspected,
     DataCentreTrusted,
     /// The servers of a service in a data centre have no free slots, or have some again.
@@ -41,8 +43,8 @@
     flow_address flow;
     /// Backend server, or 0 for none.
     std::uint64_t wireId {};
-    /// Name of the route, of the data centre for DataCentreSuspected and DataCentreTrusted, or of the service
-    /// for ServiceFull, ServiceFree and FlowLimitChanged.
+    /// Name of the route, of the data centre for DataCentreSuspected and DataCentreTrusted, of the service
+    /// for ServiceFull, ServiceFree and FlowLimitChanged, or id of the server for ServerWithoutTag.
     std::string subject;
     /// Priority of the route, for FlowWaiting and FlowRefused.
     std::uint32_t priority {};
--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -36,8 +36,8 @@
     /// Events about servers, data centres, hosts and the store that explain what happened to flows.
     const std::set<std::string> contextEvents { "ServerSuspected", "ServerTrusted", "DataCentreSuspected",
         "DataCentreTrusted", "ReadinessChanged", "ServerChanged", "ServersListed", "ServerUnanswered",
-        "ServiceFull", "ServiceFree", "DataCentreOutChanged", "ConfigInForce", "StoreCallFailed",
-        "StoreCallAnswered", "TaggedHostStarted", "ShutdownStarted", "LogLinesDropped" };
+        "ServerWithoutTag", "ServiceFull", "ServiceFree", "DataCentreOutChanged", "ConfigInForce",
+        "StoreCallFailed", "StoreCallAnswered", "TaggedHostStarted", "ShutdownStarted", "LogLinesDropped" };
 
     // Time before the first and after the last line about the flow within which context events are shown.
     constexpr std::int64_t contextWindowMs = 2000;
--- a/src/daemon/tagged_log_worker.cpp
+++ b/src/daemon/tagged_log_worker.cpp
@@ -205,6 +205,8 @@
         return m_log.write<event::ServerTrusted>(server);
     case steering::steering_event_kind::ServerUnanswered:
         return m_log.write<event::ServerUnanswered>(server, steeringEvent.openFlows);
+    case steering::steering_event_kind::ServerWithoutTag:
+        return m_log.write<event::ServerWithoutTag>(steeringEvent.subject, server);
     case steering::steering_event_kind::DataCentreSuspected:
         return m_log.write<event::DataCentreSuspected>(steeringEvent.subject, server);
     case steering::steering_event_kind::DataCentreTrusted:
--- a/src/steering/server_directory.cpp
+++ b/src/steering/server_directory.cpp
@@ -1,6 +1,8 @@
 #include <shallotcove/steering/server_directory.hpp>
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 #include <shallotcove/steering/steering_options.hpp>
 
@@ -10,6 +12,14 @@
 
     bool isBefore(const server_record* server, server_tag tag) { return server->tag < tag; }
 
+    /// Whether a server has the right to a tag that both have. Depends on the entries alone, so that all
+    /// hosts agree whatever the order in which they read them. A server that joins later takes the tag from
+    /// no other.
+    bool precedes(const server_entry& left, const server_entry& right)
+    {
+        return std::tie(left.startedAtMs, left.id) < std::tie(right.startedAtMs, right.id);
+    }
+
 } // namespace
 
 server_directory::server_directory(const steering_options& options)
@@ -19,22 +29,44 @@
 }
 
 bool server_directory::apply(const server_entry& entry, core::timestamp now)
+{
+    const server_tag tag = tagOf(entry.id);
+    const server_record* const holder = find(tag);
+    const bool isHeldByOther
+        = holder != nullptr && holder->presence != server_presence::Left && holder->entry.id != entry.id;
+    if (!isHeldByOther && !m_serversWithoutTag.contains(tag)) {
+        setEntry(entry, now);
+        return true;
+    }
+    std::vector<server_entry>& others = m_serversWithoutTag[tag];
+    std::erase_if(others, [&entry](const server_entry& other) { return other.id == entry.id; });
+    others.push_back(entry);
+    if (isHeldByOther && precedes(holder->entry, *std::min_element(others.begin(), others.end(), precedes)))
+        return false;
+    // An uncertain holder is no longer in the store, so that nothing would remove it later.
+    if (isHeldByOther && holder->presence == server_presence::Listed)
+        others.push_back(holder->entry);
+    giveTagToFirst(tag, now);
+    return find(tag)->entry.id == entry.id;
+}
+
+void server_directory::setEntry(const server_entry& entry, core::timestamp now)
 {
     const server_tag tag = tagOf(entry.id);
     const auto [found, isNew] = m_records.try_emplace(tag);
     server_record& record = found->second;
-    // The tag stays with the server that has it already, because packets of its open flows carry it.
-    if (!isNew && record.entry.id != entry.id)
-        return false;
+    const bool isReassigned = !isNew && record.entry.id != entry.id;
     const bool hasRestarted = !isNew && record.entry.startedAtMs != entry.startedAtMs;
-    if (isNew || hasRestarted || record.presence == server_presence::Left) {
+    if (isReassigned)
+        m_reassignedTags.push_back(tag);
+    if (isNew || isReassigned || hasRestarted || record.presence == server_presence::Left) {
         record.evidence.reset();
         record.answers = {};
         record.capacity.speed.reset();
     }
     if (!isNew && record.presence != server_presence::Left)
         removeFromService(record);
-    if (isNew || record.presence != server_presence::Listed) {
+    if (isNew || isReassigned || record.presence != server_presence::Listed) {
         record.presence = server_presence::Listed;
         record.presenceSince = now;
     }
@@ -45,12 +77,31 @@
     record.coldUntil = now + entry.coldFor;
     record.dataCentreIndex = dataCentreIndexOf(entry.dataCentre);
     addToService(record);
-    return true;
+}
+
+void server_directory::giveTagToFirst(server_tag tag, core::timestamp now)
+{
+    const auto found = m_serversWithoutTag.find(tag);
+    if (found == m_serversWithoutTag.end())
+        return;
+    std::vector<server_entry>& others = found->second;
+    const auto first = std::min_element(others.begin(), others.end(), precedes);
+    setEntry(*first, now);
+    others.erase(first);
+    if (others.empty())
+        m_serversWithoutTag.erase(found);
 }
 
 void server_directory::remove(std::string_view serverId, bool isUncertain, core::timestamp now)
 {
-    server_record* const record = find(tagOf(serverId));
+    const server_tag tag = tagOf(serverId);
+    const auto others = m_serversWithoutTag.find(tag);
+    if (others != m_serversWithoutTag.end()) {
+        std::erase_if(others->second, [serverId](const server_entry& other) { return other.id == serverId; });
+        if (others->second.empty())
+            m_serversWithoutTag.erase(others);
+    }
+    server_record* const record = find(tag);
     if (record == nullptr || record->entry.id != serverId || record->presence != server_presence::Listed)
         return;
     // A draining server was about to leave, so its removal is certain.
@@ -60,6 +111,8 @@
     record->presenceSince = now;
 }
 
+std::vector<server_tag> server_directory::takeReassignedTags() { return std::exchange(m_reassignedTags, {}); }
+
 void server_directory::expire(core::timestamp now)
 {
     for (auto& [tag, record] : m_records) {
@@ -125,6 +178,7 @@
     record.capacity.isEstimated = false;
     record.presence = server_presence::Left;
     record.presenceSince = now;
+    giveTagToFirst(record.tag, now);
 }
 
 } // namespace shallotcove::steering
--- a/src/steering/server_directory_test.cpp
+++ b/src/steering/server_directory_test.cpp
@@ -66,3 +66,36 @@
     directory.apply(serverEntry("i-1"), at(3001));
     cr_assert_eq(directory.serversOf("booking").size(), 2);
 }
+
+// A server that restarts under its id has lost its flows, so another one that waits for the tag must get it.
+// An update of a waiting server must not change the holder.
+Test(server_directory, restarted_server_loses_a_shared_tag)
+{
+    const auto [first, second] = serversWithOneTag();
+    const server_tag tag = tagOf(first.id);
+    server_directory directory(optionsOf());
+    cr_assert(directory.apply(first, at(0)) && !directory.apply(second, at(0)));
+    cr_assert(!directory.apply(second, at(10)) && directory.takeReassignedTags().empty());
+    cr_assert(directory.find(tag)->coldUntil == at(0));
+    server_entry restarted = first;
+    restarted.startedAtMs = second.startedAtMs + 1;
+    cr_assert(!directory.apply(restarted, at(20)));
+    cr_assert(directory.find(tag)->entry == second && directory.serversOf("booking").size() == 1);
+    cr_assert(directory.takeReassignedTags() == std::vector { tag });
+}
+
+// While the removal of the holder is uncertain it may still have flows. After that it must not come back from
+// the list of waiting servers.
+Test(server_directory, uncertain_holder_keeps_a_shared_tag_until_its_removal_is_certain)
+{
+    const auto [first, second] = serversWithOneTag();
+    const server_tag tag = tagOf(first.id);
+    server_directory directory(optionsOf());
+    directory.apply(first, at(0));
+    directory.remove(first.id, true, at(1));
+    cr_assert(!directory.apply(second, at(2)));
+    directory.expire(at(3000));
+    cr_assert(directory.find(tag)->entry == second);
+    directory.remove(second.id, false, at(3001));
+    cr_assert(directory.serversOf("booking").empty());
+}
--- a/src/steering/steering_engine_knowledge.cpp
+++ b/src/steering/steering_engine_knowledge.cpp
@@ -40,12 +40,37 @@
     const server_record* const former = m_servers.find(tagOf(entry.id));
     if (former != nullptr && former->entry.id == entry.id && former->entry.startedAtMs != entry.startedAtMs)
         forgetEstablishedFlows(former->tag);
-    m_servers.apply(entry, now);
+    if (!m_servers.apply(entry, now))
+        reportSharedTag(entry, now);
+    removeFlowsOfReassignedTags();
 }
 
 void steering_engine::removeServer(std::string_view serverId, bool isUncertain, core::timestamp now)
 {
     m_servers.remove(serverId, isUncertain, now);
+    removeFlowsOfReassignedTags();
+}
+
+void steering_engine::reportSharedTag(const server_entry& entry, core::timestamp now)
+{
+    steering_event event
+        = eventOf(steering_event_kind::ServerWithoutTag, {}, m_servers.find(tagOf(entry.id)), now);
+    event.subject = entry.id;
+    addEvent(std::move(event));
+}
+
+void steering_engine::removeFlowsOfReassignedTags()
+{
+    for (const server_tag tag : m_servers.takeReassignedTags()) {
+        std::vector<flow_address> flows;
+        m_trackedFlows.forEach([&flows, tag](const flow_record& record) {
+            if (record.server == tag && record.state != flow_state::Waiting
+                && record.state != flow_state::Declined)
+                flows.push_back(record.opening.flow);
+        });
+        for (const flow_address& flow : flows)
+            removeFlow(flow);
+    }
 }
 
 void steering_engine::setDataCentreOut(const std::string& dataCentre, bool isOut, core::timestamp now)
--- a/src/steering/steering_engine_requests.cpp
+++ b/src/steering/steering_engine_requests.cpp
@@ -140,6 +140,7 @@
 {
     const std::size_t formerCount = m_servers.all().size();
     m_servers.expire(now);
+    removeFlowsOfReassignedTags();
     if (m_servers.all().size() == formerCount)
         return;
     // If a server of the same id is listed again, it starts with a new record.
--- a/src/steering/steering_engine_test.cpp
+++ b/src/steering/steering_engine_test.cpp
@@ -1,8 +1,8 @@
 #include "steering_fixture.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
-#include <unordered_map>
 
 #include <criterion/criterion.h>
 
@@ -198,30 +198,51 @@
     cr_assert(!engine.servers().find(tagOf("i-1"))->evidence.isSuspect());
 }
 
-// If two servers have the same tag, flows of one must not reach the other.
+// If two servers have the same tag, flows of one must not reach the other, also after a host has restarted
+// and has read the servers in another order.
 Test(steering_engine, of_two_servers_with_one_tag_the_first_keeps_it)
 {
-    std::unordered_map<server_tag, std::string> idsByTag;
-    std::string one;
-    std::string other;
-    for (std::uint32_t number = 1; other.empty(); ++number) {
-        const std::string id = "i-" + std::to_string(number);
-        const auto [found, isNew] = idsByTag.try_emplace(tagOf(id), id);
-        if (!isNew) {
-            one = found->second;
-            other = id;
-        }
+    const auto [first, second] = serversWithOneTag();
+    for (const bool isFirstReadFirst : { true, false }) {
+        steering_engine engine(optionsOf());
+        engine.applyConfig(configOf({ routeTo({ { "booking", 1 } }) }));
+        engine.applyServer(isFirstReadFirst ? first : second, at(0));
+        engine.applyServer(isFirstReadFirst ? second : first, at(0));
+        engine.setViewComplete(true);
+        for (std::uint16_t port = 1; port <= 4; ++port)
+            cr_assert(engine.handlePacket(openingPacket(port), at(port)).server == first.address);
+        // When the second server leaves, the first one must stay.
+        engine.removeServer(second.id, false, at(10));
+        cr_assert(engine.handlePacket(openingPacket(9), at(11)).server == first.address);
     }
+}
+
+// When the server that holds a tag leaves, the other one must get flows, and none of those of the former one.
+Test(steering_engine, tag_passes_to_the_other_server_without_its_flows)
+{
+    const auto [first, second] = serversWithOneTag();
     steering_engine engine(optionsOf());
     engine.applyConfig(configOf({ routeTo({ { "booking", 1 } }) }));
-    engine.applyServer(serverEntry(one), at(0));
-    engine.applyServer(serverEntry(other), at(0));
+    engine.applyServer(first, at(0));
+    engine.applyServer(second, at(0));
     engine.setViewComplete(true);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        cr_assert(engine.handlePacket(openingPacket(port), at(port)).server == serverEntry(one).address);
-    // When the second server leaves, the first one must stay.
-    engine.removeServer(other, false, at(10));
-    cr_assert(engine.handlePacket(openingPacket(9), at(11)).server == serverEntry(one).address);
+    const server_tag tag = openFlow(engine, 1, 1);
+    cr_assert_eq(engine.servers().find(tag)->openFlows, 1);
+    engine.takeEvents();
+    engine.removeServer(first.id, false, at(20));
+    cr_assert_eq(engine.flowCount(), 0);
+    cr_assert_eq(engine.servers().find(tag)->openFlows, 0);
+    cr_assert(engine.handlePacket(openingPacket(2), at(21)).server == second.address);
+    // The first server is back, under its id but without its flows.
+    server_entry restarted = first;
+    restarted.startedAtMs = second.startedAtMs + 1000;
+    engine.applyServer(restarted, at(30));
+    cr_assert(engine.handlePacket(openingPacket(3), at(31)).server == second.address);
+    cr_assert(engine.handlePacket(laterPacket(2, tag, 200), at(32)).server == second.address);
+    const std::vector<steering_event> events = engine.takeEvents();
+    cr_assert(std::any_of(events.begin(), events.end(), [&first](const steering_event& event) {
+        return event.kind == steering_event_kind::ServerWithoutTag && event.subject == first.id;
+    }));
 }
 
 // A configuration change must not cut open flows, and must apply to new flows at once.
--- a/src/steering/steering_fixture.hpp
+++ b/src/steering/steering_fixture.hpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <shallotcove/steering/routing_config.hpp>
@@ -31,6 +33,21 @@
         server_state::Ready, {}, 1000 };
 }
 
+/// Two servers with the same tag, the one that started first at the front.
+inline std::pair<server_entry, server_entry> serversWithOneTag()
+{
+    std::unordered_map<server_tag, std::string> ids;
+    for (std::uint32_t number = 1;; ++number) {
+        const std::string id = "i-" + std::to_string(number);
+        const auto [found, isNew] = ids.try_emplace(tagOf(id), id);
+        if (isNew)
+            continue;
+        std::pair<server_entry, server_entry> servers(serverEntry(id), serverEntry(found->second));
+        servers.second.startedAtMs += 1000;
+        return servers;
+    }
+}
+
 inline route routeTo(std::vector<weighted_service> targets, std::uint16_t port = servicePort)
 {
     return { "r" + std::to_string(port), { serviceAddress, port }, std::move(targets),
