Play missed changes with a large configuration again

The evacuation was in effect in time; only the cause of the catch-up had another name. The test had 200 routes since.

Change: the versions are encoded before the watch is opened, and have 1,000 routes again. Bounds and time-outs are unchanged.

--- a/src/daemon/store_follower_test.cpp
+++ b/src/daemon/store_follower_test.cpp
@@ -187,24 +187,30 @@
 };
 
 /// Configuration of a size that takes several slices to decode.
-steering::routing_config largeConfig(std::uint64_t version, std::uint16_t size = 1000)
+steering::routing_config largeConfig(std::uint64_t version)
 {
     std::vector<steering::route> routes;
-    for (std::uint16_t port = 1; port <= size; ++port)
+    for (std::uint16_t port = 1; port <= 1000; ++port)
         routes.push_back({ "r" + std::to_string(port), { 0xc6120001, port }, { { "booking", 1 } }, 1200ms,
             200ms, 1, {}, false });
     return { version, steering::shareRoutes(std::move(routes)), {} };
 }
 
-/// Routes of a configuration that is written 30 times: so few that the calls of the follower do not time out
-/// meanwhile on a busy machine.
-constexpr std::uint16_t repeatedConfigSize = 200;
-
-/// Writes 30 versions of a configuration, and then an evacuation.
-void writeVersionsAndEvacuation(standins::store_standin& store)
+/// Returns versions 2 to 31 of a large configuration as the store holds them. They are encoded before they
+/// are written, since a watch of the follower would time out meanwhile on a slow machine.
+std::vector<std::string> encodeVersions()
 {
+    std::vector<std::string> versions;
     for (std::uint64_t version = 2; version <= 31; ++version)
-        store.putConfig(largeConfig(version, repeatedConfigSize));
+        versions.push_back(standins::store_standin::configText(largeConfig(version)));
+    return versions;
+}
+
+/// Writes the versions of a configuration, and then an evacuation.
+void writeVersionsAndEvacuation(standins::store_standin& store, const std::vector<std::string>& versions)
+{
+    for (const std::string& version : versions)
+        store.putConfigText(version);
     store.setDataCentreOut("a", true);
 }
 
@@ -415,34 +421,35 @@
 Test(store_follower, evacuation_takes_effect_first_after_missed_changes)
 {
     using scenario = std::function<moment(followed_store&)>;
+    const std::vector<std::string> versions = encodeVersions();
     const std::map<std::string, scenario> scenarios {
         { "outage",
-            [](followed_store& followed) {
+            [&versions](followed_store& followed) {
                 followed.store().setFault(standins::store_fault::Down);
                 followed.run(700ms);
-                writeVersionsAndEvacuation(followed.store());
+                writeVersionsAndEvacuation(followed.store(), versions);
                 followed.store().setFault(standins::store_fault::None);
                 return followed.now();
             } },
         { "pause",
-            [](followed_store& followed) {
+            [&versions](followed_store& followed) {
                 pauseProcess(followed.follower());
-                writeVersionsAndEvacuation(followed.store());
+                writeVersionsAndEvacuation(followed.store(), versions);
                 return followed.now();
             } },
         { "historyDropped",
-            [](followed_store& followed) {
+            [&versions](followed_store& followed) {
                 followed.store().suppressWatchChanges(true);
-                writeVersionsAndEvacuation(followed.store());
+                writeVersionsAndEvacuation(followed.store(), versions);
                 const moment before = followed.now();
                 followed.store().dropHistory();
                 followed.store().suppressWatchChanges(false);
                 return before;
             } },
         { "answerTooLarge",
-            [](followed_store& followed) {
+            [&versions](followed_store& followed) {
                 followed.store().suppressWatchChanges(true);
-                writeVersionsAndEvacuation(followed.store());
+                writeVersionsAndEvacuation(followed.store(), versions);
                 followed.store().setFault(standins::store_fault::OversizedWatch);
                 followed.runUntil([&] { return !followed.catchUpCauses.empty(); }, 1000ms);
                 followed.store().suppressWatchChanges(false);
@@ -453,7 +460,7 @@
         const char* const name = cause.c_str();
         // Only an outage is to be taken for one.
         followed_store followed(50, 0ms, cause == "outage" ? 400ms : 3000ms);
-        followed.store().putConfig(largeConfig(1, repeatedConfigSize));
+        followed.store().putConfig(largeConfig(1));
         followed.store().putServer("i-1");
         followed.follower().start();
         cr_assert(followed.reaches(1), "%s", name);
