Wait for the follower's watch instead of 50 ms in tests of missed changes

The test dropped the store's history 50 ms after the first configuration was in effect. On a busy machine the watch of the follower is not open by then; one that is opened later starts at the current revision and misses nothing, so that no catch-up begins.

Change: this test and 14 others that waited in the same way now wait until the store has an open watch, and fail without one. Assertions and bounds are unchanged.

--- a/src/daemon/store_follower_test.cpp
+++ b/src/daemon/store_follower_test.cpp
@@ -68,6 +68,12 @@
         return runUntil([this, version] { return m_view.configVersion() == version; }, limit);
     }
 
+    /// Runs until the store has a watch of the follower to answer. Returns false if it gets none in time.
+    bool awaitsChanges()
+    {
+        return runUntil([this] { return m_store->hasOpenWatch(); }, 1000ms);
+    }
+
     void run(std::chrono::milliseconds time)
     {
         runUntil([] { return false; }, time);
@@ -465,7 +471,7 @@
         followed.follower().start();
         cr_assert(followed.reaches(1), "%s", name);
         const std::uint64_t configBytes = followed.store().bodyBytes();
-        followed.run(50ms);
+        cr_assert(followed.awaitsChanges());
         const moment before = miss(followed);
         cr_assert(followed.isEvacuated(), "%s", name);
         cr_assert(followed.evacuation->calls - before.calls <= 1, "%s: %lu calls", name,
@@ -491,7 +497,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().suppressWatchChanges(true);
     followed.store().putConfig(2);
     followed.store().putConfig(3);
@@ -512,7 +518,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     const std::uint64_t calls = followed.store().callCount();
     followed.store().setFault(standins::store_fault::Busy);
     cr_assert(followed.runUntil([&] { return !followed.causes.empty(); }, 1000ms));
@@ -529,7 +535,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().suppressWatchChanges(true);
     followed.store().putConfig(2);
     followed.store().setDataCentreOut("a", true);
@@ -564,7 +570,7 @@
             followed.store().putServer(id);
         followed.follower().start();
         cr_assert(followed.reaches(1));
-        followed.run(50ms);
+        cr_assert(followed.awaitsChanges());
         followed.store().suppressWatchChanges(true);
         followed.store().removeServer("i-2");
         std::size_t calls = 0;
@@ -597,7 +603,7 @@
     followed.store().putServer("i-2");
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().setPageCallback([&] { followed.store().setFault(standins::store_fault::Silent); });
     followed.store().dropHistory();
     cr_assert(followed.runUntil([&] { return followed.follower().isCatchingUp(); }, 1000ms));
@@ -614,7 +620,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().suppressWatchChanges(true);
     followed.store().putUndecodableConfig();
     followed.store().setDataCentreOut("a", true);
@@ -634,7 +640,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().setFault(standins::store_fault::NoSingleKeys);
     followed.store().suppressWatchChanges(true);
     followed.store().putConfig(2);
@@ -651,7 +657,7 @@
         const simulated_neighbour neighbour(followed.context());
         followed.follower().start();
         cr_assert(followed.reaches(1));
-        followed.run(50ms);
+        cr_assert(followed.awaitsChanges());
         followed.store().setFault(standins::store_fault::Down);
         followed.run(isAfterPause ? 50ms : 700ms);
         if (isAfterPause) {
@@ -683,7 +689,7 @@
             });
         followed.follower().start();
         cr_assert(followed.reaches(1));
-        followed.run(50ms);
+        cr_assert(followed.awaitsChanges());
         followed.follower().setRelay(isSilent ? *shallotcove::core::socket_address::parse(
                                          "127.0.0.1:" + std::to_string(silent.local_endpoint().port()))
                                               : (*broken)->address());
@@ -871,7 +877,7 @@
     const simulated_neighbour neighbour(followed.context());
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().setFault(standins::store_fault::Down);
     followed.run(600ms);
     const std::size_t failures = followed.causes.size();
@@ -894,7 +900,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().setFault(standins::store_fault::SlowSingleKeys);
     followed.store().suppressWatchChanges(true);
     followed.store().putConfig(2);
@@ -910,7 +916,7 @@
     followed_store followed(50, 0ms, 800ms);
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().setFault(standins::store_fault::RefusedSingleKeys);
     const std::uint64_t calls = followed.store().callCount();
     followed.store().suppressWatchChanges(true);
@@ -937,7 +943,7 @@
     followed_store followed;
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     followed.store().freezeListings(true);
     followed.store().suppressWatchChanges(true);
     followed.store().putConfig(2);
@@ -961,7 +967,7 @@
     asio::ip::tcp::acceptor silent(followed.context(), { asio::ip::make_address("127.0.0.1"), 0 });
     followed.follower().start();
     cr_assert(followed.reaches(1));
-    followed.run(50ms);
+    cr_assert(followed.awaitsChanges());
     bool isAsking = false;
     followed.store().setPageCallback([&] {
         isAsking = true;
